--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,8 +29,8 @@
 const FULL_LIMIT: f64 = 0.7;
 /// Least weight of the newest outcome in a backend's error share.
 const ERROR_STEP: f64 = 0.2;
-/// Age at which an outcome says nothing more of how a backend is now, s: troubles come and go within that. The
-/// rarer this proxy hears of a backend, the more its newest outcome weighs.
+/// Age at which an outcome says nothing more of how a backend is now, s: troubles come and go within that.
+/// The rarer this proxy hears of a backend, the more its newest outcome weighs.
 const ERROR_MEMORY: f64 = 8.0;
 /// Greatest weight of the newest outcome: one refusal alone stays under [`FULL_LIMIT`].
 const ERROR_STEP_MOST: f64 = 0.6;
