Ask discovery by turns: spread the first call, wait a round after a queued one

The 70 proxies restarted at 13 s never get a list again: 1,000 attempts in 5 s are turned away by draining backends and 300 a second find nobody. The 11 that kept their watch hear of changes 5 s late, from behind the same queue. Faulty lines: Balancer::new() asked at time 0, members() waited 0.1 to 1.25 s after any failure, for 3 proxies or for 100. Design: asking.rs, a part of its own. With an old list to serve from, the first call is spread over the round in which all proxies call once (0.08 s each, within the time told); a call that fails late has stood in the queue and is repeated one to two rounds later; one refused at once costs nothing and is repeated within seconds. Up to four proxies ask as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod asking;
 mod interface;
 mod logic;
 pub mod settings;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -145,18 +145,16 @@
     }
 
     fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
-        match (update, self.cfg.discovery) {
-            // A lost subscription is asked for again, later each time and not in step with others.
-            (ListUpdate::Lost, Discovery::Subscribe(within)) => {
-                let wait = (self.ask.1 * 2.0).clamp(0.1, (within.secs() / 8.0).max(0.1));
-                let at = now + Micros::from_secs(wait * (0.5 + self.dice.unit()));
-                self.ask = (Some(at), wait);
-                self.wake_by(at);
+        match update {
+            ListUpdate::Lost => {
+                self.asking.lost(now, &self.cfg, self.dice.unit());
                 self.log(now, "discovery lost, asking again".into());
             }
-            (ListUpdate::Changes | ListUpdate::Full, _) => self.ask = (None, 0.0),
-            _ => {}
+            ListUpdate::Changes | ListUpdate::Full => self.asking.answered(),
+            ListUpdate::Cached if list.is_empty() => {}
+            ListUpdate::Cached => self.asking.have_old_list(now, &self.cfg, || self.dice.unit()),
         }
+        self.wake_by(self.asking.due.unwrap_or(self.due));
         if self.take_list(update, list) {
             self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
             self.solve(now);
@@ -299,13 +297,10 @@
 
     /// Every tick: what time alone brings about.
     fn look_after(&mut self, now: Time) {
-        if let (Some(at), Discovery::Subscribe(within)) = (self.ask.0, self.cfg.discovery) {
-            if now >= at {
-                self.ask.0 = Some(now + within.times(0.5)); // unanswered so long, the call itself was lost
-                self.actions.push(Action::Follow);
-            }
+        if self.asking.is_due(now, &self.cfg) {
+            self.actions.push(Action::Follow);
         }
-        self.wake_by(self.ask.0.unwrap_or(self.due));
+        self.wake_by(self.asking.due.unwrap_or(self.due));
         self.suspect(now);
         let mut over = Vec::new();
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
+use crate::asking::Asking;
 use crate::interface::*;
 use crate::logic::{BRISK, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY, UNLOADED_RISE};
 use rand_core::{RngCore, SeedableRng};
@@ -248,7 +249,7 @@
     /// When time alone next asks for attention.
     pub(crate) due: Time,
     pub(crate) timer: (u64, Option<Time>),
-    pub(crate) ask: (Option<Time>, f64),
+    pub(crate) asking: Asking,
     pub(crate) log_at: Time,
     pub(crate) actions: Vec<Action>,
 }
@@ -283,7 +284,7 @@
             solved: Time(0),
             due: Time(0),
             timer: (0, None),
-            ask: ((cfg.discovery != Discovery::Push).then_some(Time(0)), 0.0),
+            asking: Asking::new(&cfg),
             log_at: Time(0),
             actions: Vec::new(),
             cfg,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -69,3 +69,48 @@
     assert!(most >= 5, "a burst of {most} only");
     assert!((2.0..4.2).contains(&mean), "{mean} on average");
 }
+
+/// The most of these moments that fall into one second.
+fn most_in_a_second(mut at: Vec<Time>) -> usize {
+    at.sort();
+    (0..at.len())
+        .map(|i| at[i..].iter().filter(|t| **t - at[i] < Micros(1_000_000)).count())
+        .max()
+        .unwrap_or(0)
+}
+
+#[test]
+fn a_hundred_proxies_that_start_together_do_not_ask_discovery_together() {
+    // A release killed seventy proxies: all asked at once, all stood in discovery's queue past their time, all
+    // asked again within a second, and for as long as they did nobody got a list.
+    let within = Micros(10_000_000);
+    let (mut first, mut again, mut soon) = (Vec::new(), Vec::new(), Vec::new());
+    for position in 0..100 {
+        let discovery = Discovery::Subscribe(within);
+        let cfg = Config { proxies: 100, position, discovery, ..Config::example() };
+        let mut host = Host::new(cfg, u64::from(position) + 1);
+        let asked = |host: &mut Host, fail_after: u64| {
+            let before = host.follows;
+            let until = host.now + Micros(40_000_000);
+            while host.follows == before && host.now < until {
+                host.advance(host.cfg.tick.0);
+            }
+            let at = host.now;
+            host.advance(fail_after);
+            host.event(Event::Members { update: ListUpdate::Lost, backends: Vec::new() });
+            at
+        };
+        host.members(ListUpdate::Cached, (0..60).map(|i| backend(i, 0, 0)).collect());
+        assert_eq!(host.follows, 0, "an old list serves for the moment");
+        let start = host.now;
+        first.push(asked(&mut host, 2_000_000));
+        assert!((host.now - start).secs() < within.secs() + 2.0, "it counts as told before it asks");
+        again.push(asked(&mut host, 10_000));
+        let failed = host.now;
+        let next = asked(&mut host, 10_000) - failed;
+        soon.push(next);
+    }
+    assert!(most_in_a_second(first) <= 30, "first calls");
+    assert!(most_in_a_second(again) <= 30, "calls after one that stood in the queue");
+    assert!(soon.iter().all(|s| *s < Micros(5_000_000)), "a service that was down is found soon");
+}
