Count only attempts on backends in use towards what a proxy holds

Faulty lines: draw() compared all of self.out with the pool, whatever the attempts waited for. Design: in_use() counts attempts on backends that are neither out of use nor silent, for the pool and for the mean alike.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -114,7 +114,7 @@
         if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
-        self.hold_mean.pass(now, self.out as f64);
+        self.hold_mean.pass(now, self.in_use());
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
             Event::Request(arrival) => self.request(now, arrival),
@@ -461,10 +461,20 @@
         alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
     }
 
+    /// Attempts that take room on backends in use. Among many proxies those on backends that are out of use
+    /// or silent do not count: one that waits there for its deadline would keep ten others from the rest.
+    fn in_use(&self) -> f64 {
+        if f64::from(self.cfg.proxies) <= HOLD {
+            return self.out as f64;
+        }
+        let used = |id: &BackendId| self.peers.get(id).is_some_and(|p| p.ready > 0.0 && !p.silent);
+        self.attempts.values().filter(|a| used(&a.0)).count() as f64
+    }
+
     /// A backend for the request: kind by share, backend inside it by readiness, both at random.
     fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
         let pool = if r.value < LOW { self.pool / 2.0 } else { self.pool };
-        let out = self.out as f64;
+        let out = self.in_use();
         if out >= pool || (self.hold_mean.value > self.sustained && out >= self.sustained) {
             return None;
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -114,3 +114,25 @@
     assert!(most_in_a_second(again) <= 30, "calls after one that stood in the queue");
     assert!(soon.iter().all(|s| *s < Micros(5_000_000)), "a service that was down is found soon");
 }
+
+#[test]
+fn what_hangs_on_silent_backends_leaves_the_others_their_room() {
+    // Seven of sixty backends had become slow and held 106 of the 250 requests that all proxies may have out;
+    // new ones waited beside idle backends until they were too late. A sixth of them hangs here.
+    let mut host = thin();
+    trickle(&mut host, 60, |_| None);
+    let mut waited = 0;
+    for n in 0..400 {
+        let id = host.arrive(0, 4_000_000);
+        host.advance(40_000);
+        if n >= 100 {
+            waited += usize::from(host.sent_to(id).is_empty());
+        }
+        for (id, no) in host.out() {
+            if host.requests[&id].tries[no].backend.0 >= 10 {
+                host.end(id, no, Outcome::Ok);
+            }
+        }
+    }
+    assert!(waited <= 60, "{waited} of 300 were not sent at once");
+}
