Doubt a backend after a slow answer where a proxy sees it every few seconds

The choked ones still get 20 to 44 new requests a second, as many as the rest. Ruled out: the list (all 29 are ready), silence (later answers come from them, if late, so it never marks them). Faulty lines: learn() took any served answer as a sign of health, and suspect() marked only what owes everything it was sent. A choked backend rests only when all proxies leave it; each alone met it every two to four seconds and saw nothing odd. Design: an attempt that has taken half of the way from an unloaded answer to its aim puts the backend's error share at 0.7, at that moment and not when the answer comes; an answer in time takes it down again. The shares stay the formula's.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,11 @@
 const ERROR_STEP_MOST: f64 = 0.6;
 /// An unanswered attempt this many times older than usual, with no later answer, marks silence.
 const SILENT_AFTER: f64 = 6.0;
+/// A backend that this proxy sees seldom is doubted once an attempt has taken this part of the time from an
+/// unloaded answer to the aim: it is slow, or so crowded that it slows down until all leave it alone.
+const SLOW: f64 = 0.5;
+/// Error share of a doubted backend: it is drawn less until it answers in time.
+const DOUBT: f64 = 0.7;
 /// First term of an ejection, s; it doubles with each failed return, twice at most.
 const EJECT_TERM: f64 = 1.0;
 /// The same in visits: each return costs the request that tries it, so that a backend which this proxy sees
@@ -217,10 +222,15 @@
 
     /// Until when an attempt's answer is brisk.
     fn brisk(&self, backend: BackendId, class: usize) -> Micros {
+        self.on_the_way(backend, class, BRISK)
+    }
+
+    /// The time of an unloaded answer and that part of what is then left to the aim.
+    fn on_the_way(&self, backend: BackendId, class: usize, part: f64) -> Micros {
         let aim = self.cfg.classes[class].aim.secs();
         let kind = self.peers.get(&backend).and_then(|p| self.kinds.get(&p.entry.kind));
         let unloaded = kind.and_then(|k| k.unloaded).map_or(0.0, |t| t * self.work(class));
-        Micros::from_secs(unloaded + (aim - unloaded).max(0.0) * BRISK)
+        Micros::from_secs(unloaded + (aim - unloaded).max(0.0) * part)
     }
 
     /// Many proxies cannot bound what a backend holds; each learns from its answers that all hold too much.
@@ -261,6 +271,7 @@
 
     /// What an outcome says of the backend, its kind and its class.
     fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
+        let slow = end.outcome == Outcome::Ok && self.is_slow(id, class, end.latency);
         let step = (self.gap / ERROR_MEMORY).clamp(ERROR_STEP, ERROR_STEP_MOST);
         let Some(p) = self.peers.get_mut(&id) else { return };
         p.out = p.out.saturating_sub(1);
@@ -270,6 +281,9 @@
                 p.answered = now;
                 p.errors *= 1.0 - step;
                 p.strikes = 0;
+                if slow {
+                    self.doubt(id);
+                }
                 self.served(kind, class, end.latency);
             }
             Outcome::Cancelled | Outcome::NeverSent => {}
@@ -287,6 +301,18 @@
         }
     }
 
+    /// Has a backend drawn less until it answers in time.
+    fn doubt(&mut self, id: BackendId) {
+        if let Some(p) = self.peers.get_mut(&id) {
+            p.errors = p.errors.max(DOUBT);
+        }
+    }
+
+    /// Whether an attempt takes so long that a backend which is met seldom is better drawn less.
+    fn is_slow(&self, id: BackendId, class: usize, took: Micros) -> bool {
+        self.gap > 0.0 && took > self.on_the_way(id, class, SLOW)
+    }
+
     fn eject(&mut self, now: Time, id: BackendId, why: Outcome) {
         let term = EJECT_TERM.max(self.gap * EJECT_VISITS) * (0.75 + 0.5 * self.dice.unit());
         let Some(p) = self.peers.get_mut(&id) else { return };
@@ -341,6 +367,9 @@
         }
         let mut attempts = std::mem::take(&mut self.attempts);
         for (backend, class, sent, late) in attempts.values_mut() {
+            if self.is_slow(*backend, *class, now - *sent) {
+                self.doubt(*backend);
+            }
             // Late is known once the time is up: an overloaded backend answers only much later.
             let limit = *sent + self.brisk(*backend, *class);
             if !*late && now >= limit {
@@ -351,6 +380,8 @@
             let from = *sent + usual.times(SILENT_AFTER);
             let next = if now < from { from } else { now + usual };
             self.wake_by(if *late { next } else { next.min(limit) });
+            let slow = *sent + self.on_the_way(*backend, *class, SLOW);
+            self.wake_by(if self.gap > 0.0 && now < slow { slow } else { next });
             let peer = self.peers.get_mut(backend).filter(|p| now >= from && p.answered <= *sent);
             if let Some(p) = peer {
                 p.silent = true;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -153,3 +153,25 @@
     }
     assert!(waited <= 60, "{waited} of 300 were not sent at once");
 }
+
+#[test]
+fn a_slow_backend_is_drawn_less_where_a_proxy_sees_it_seldom() {
+    // Backends that had choked held 111 of 190 requests while their neighbours idled: their answers came, too
+    // late to count, and a late answer was as good as any. A tenth answers in seven times the others' time.
+    let mut host = thin();
+    trickle(&mut host, 60, |_| None);
+    let (mut slow, mut sent) = (0, 0);
+    for n in 0..900 {
+        host.arrive(0, 4_000_000);
+        host.advance(60_000);
+        for (id, no) in host.out() {
+            let (to, at) = (host.requests[&id].tries[no].backend.0, host.requests[&id].tries[no].at);
+            if to >= 6 || host.now - at >= Micros(360_000) {
+                host.end(id, no, Outcome::Ok);
+                sent += usize::from(n >= 300);
+                slow += usize::from(n >= 300 && to < 6);
+            }
+        }
+    }
+    assert!(sent >= 500 && slow * 18 < sent, "{slow} of {sent} went to a tenth that is slow");
+}
