Open a silent watch anew half a second after its wait, and let the waits differ

Ruled out: a list that arrived and was not heeded (no proxy had one before 23 s), and a slow service (a probe of calls found that an empty wait is answered to the millisecond, 20.0006 s for a wait of 20 s).

To blame: `GRACE` of 1.5 s and one fixed `ASK_WAIT` in discovery.rs, so that all proxies timed out together at 21.5 s; and `Asking::lost`, which took a failure after 21.5 s for a call that had stood in the queue: with six proxies the next call came 0.24 to 0.72 s later, with 300 it would have come 12 to 36 s later.

Fix: a call that outlives its wait by 0.5 s is reported as `ListUpdate::Silent`, no longer as `Lost`, and the module asks again in that turn. The waits are drawn from 15 to 25 s: their mean, and so the cost of calls, stays as it was, and proxies that fell silent together ask one by one. A call that may not wait gets 3.5 s, a connection 0.75 s.

Tests: a_silent_watch_is_given_up_soon_after_its_wait and the_waits_of_watches_differ (real sockets, paused clock), a_watch_that_fell_silent_is_opened_anew_at_once_by_few_and_by_many; all three fail without the change (run).

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -63,6 +63,15 @@
         self.due = Some(now + Micros::from_secs(self.wait * (0.5 + unit)));
     }
 
+    /// A call has outlived its wait without a word. That says nothing of the service, and what the call
+    /// missed counts as told moments after the wait: it is made anew at once. The waits differ, so that
+    /// proxies whose watches fell silent together do not ask together.
+    pub fn silent(&mut self, now: Time, cfg: &Config) {
+        if cfg.discovery != Discovery::Push {
+            self.due = Some(now);
+        }
+    }
+
     /// The list or its changes have come.
     pub fn answered(&mut self) {
         (self.due, self.wait) = (None, 0.0);
--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -8,6 +8,8 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use rand_core::RngCore;
+use rand_pcg::Pcg32;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -33,10 +35,16 @@
 
 /// A pushed list costs its agent nothing: short waits notice one that fell silent.
 const PUSH_WAIT: Duration = Duration::from_secs(4);
-/// Where all proxies ask one service, each call costs it work.
-const ASK_WAIT: Duration = Duration::from_secs(20);
-/// An answer that is this late does not come.
-const GRACE: Duration = Duration::from_millis(1500);
+/// Where all proxies ask one service, each call costs it work. The waits differ by chance: news restarts all
+/// watches together, and where they fall silent together all have to be opened anew right after their waits.
+const ASK_WAIT: std::ops::Range<f64> = 15.0..25.0;
+/// A wait ends to the millisecond, so that an answer that is this late does not come. What it would have told
+/// counts as told 2 s after the wait: the next call has to go out and be answered before that.
+const GRACE: Duration = Duration::from_millis(500);
+/// A call that may not wait is answered or failed by the service itself within this time, its queue included.
+const PROMPT: Duration = Duration::from_millis(3500);
+/// A connection to discovery is up after this time or not at all.
+const DIAL: Duration = Duration::from_millis(750);
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// The longest list that is read: some thousand lines.
 const LIST_BYTES: usize = 4 << 20;
@@ -71,6 +79,13 @@
     Ok(List { index: index.want(version, "a version")?, whole: root.get("snapshot").flag()?, targets })
 }
 
+/// Why a call brought nothing.
+enum Missed {
+    Failed(String),
+    /// It was out for all of its time and not a word came.
+    Silent,
+}
+
 /// One connection to discovery; dropping it closes it.
 struct Line {
     sender: SendRequest<Empty<Bytes>>,
@@ -84,7 +99,8 @@
 }
 
 async fn dial(to: SocketAddr) -> Result<Line, String> {
-    let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
+    let dialled = tokio::time::timeout(DIAL, TcpStream::connect(to)).await;
+    let stream = dialled.map_err(|_| "no connection in time".to_string())?.map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
     let driving = tokio::task::spawn_local(async move {
@@ -120,6 +136,8 @@
     pub watching: bool,
     pub follow: std::rc::Rc<Notify>,
     pub inputs: mpsc::UnboundedSender<Input>,
+    /// For waits that differ from those of other proxies.
+    pub random: Pcg32,
 }
 
 impl Watch {
@@ -141,15 +159,13 @@
     /// Each next call goes out at once, so that no change falls between two watches.
     async fn watch(&mut self, address: SocketAddr) -> Infallible {
         let pushed = self.mode == Discovery::Push;
-        let wait = if pushed { PUSH_WAIT } else { ASK_WAIT };
         let (mut line, mut backoff) = (None, BACKOFF.0);
         loop {
             if !self.watching {
                 self.follow.notified().await;
             }
-            // An agent that never answers must not hold the watch: every call has its time.
-            let call = tokio::time::timeout(wait + GRACE, self.call(&mut line, address, wait));
-            match call.await.unwrap_or_else(|_| Err("no answer in time".into())) {
+            let wait = if pushed { PUSH_WAIT } else { self.next_wait() };
+            match self.call(&mut line, address, wait).await {
                 Ok(list) => {
                     (self.watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
@@ -157,10 +173,19 @@
                         let _ = self.inputs.send(Input::List(update, list.targets));
                     }
                 }
-                Err(text) => {
+                Err(missed) => {
                     // The list held stays in force.
                     line = None;
-                    tracing::warn!("discovery: {text}");
+                    let update = match missed {
+                        Missed::Failed(text) => {
+                            tracing::warn!("discovery: {text}");
+                            ListUpdate::Lost
+                        }
+                        Missed::Silent => {
+                            tracing::warn!("discovery: no answer in time");
+                            ListUpdate::Silent
+                        }
+                    };
                     if pushed {
                         // An agent that starts again may count from anew; the whole list costs it nothing.
                         self.index = None;
@@ -168,26 +193,158 @@
                         backoff = (backoff * 2).min(BACKOFF.1);
                     } else {
                         self.watching = false;
-                        let _ = self.inputs.send(Input::List(ListUpdate::Lost, Vec::new()));
+                        let _ = self.inputs.send(Input::List(update, Vec::new()));
                     }
                 }
             }
         }
     }
 
+    fn next_wait(&mut self) -> Duration {
+        let part = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
+        let wait = ASK_WAIT.start + (ASK_WAIT.end - ASK_WAIT.start) * part;
+        Duration::from_millis((wait * 1000.0) as u64)
+    }
+
+    /// One call. An agent that never answers must not hold the watch: every call has its time.
     async fn call(
         &self, line: &mut Option<Line>, address: SocketAddr, wait: Duration,
-    ) -> Result<List, String> {
-        if line.as_ref().is_none_or(|l| l.sender.is_closed()) {
-            *line = Some(dial(address).await?);
+    ) -> Result<List, Missed> {
+        let (path, time) = match self.index {
+            Some(index) => (format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()), wait + GRACE),
+            None => ("/api/targets".into(), PROMPT),
+        };
+        let answer = async {
+            let line = match line {
+                Some(line) if !line.sender.is_closed() => line,
+                _ => line.insert(dial(address).await?),
+            };
+            ask(line, address, &path).await
+        };
+        match tokio::time::timeout(time, answer).await {
+            Ok(answer) => answer.map_err(Missed::Failed),
+            Err(_) => Err(Missed::Silent),
         }
-        let path = match self.index {
-            Some(index) => format!("/api/targets?after={index}&wait_ms={}", wait.as_millis()),
-            None => "/api/targets".into(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::rc::Rc;
+    use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+    use tokio::net::TcpListener;
+    use tokio::time::Instant;
+
+    /// What the scripted service does with a call.
+    enum Reply {
+        List(u64),
+        Silence,
+    }
+
+    /// A service on a socket of the same thread: with the clock paused, time moves on only once all have said
+    /// what they have to say. It tells when each call came, and what was asked for.
+    async fn service(
+        listener: TcpListener, script: Vec<Reply>, seen: mpsc::UnboundedSender<(Instant, String)>,
+    ) {
+        let mut script = script.into_iter();
+        let mut silent = Vec::new();
+        loop {
+            let stream = BufReader::new(listener.accept().await.expect("a connection").0);
+            let mut lines = stream.lines();
+            while let Ok(Some(line)) = lines.next_line().await {
+                if !line.is_empty() {
+                    if let Some(path) = line.strip_prefix("GET ") {
+                        let _ = seen.send((Instant::now(), path.replace(" HTTP/1.1", "")));
+                    }
+                    continue;
+                }
+                match script.next() {
+                    Some(Reply::List(index)) => {
+                        let list = format!(
+                            "{{\n  \"index\": {index},\n  \"snapshot\": true,\n  \"endpoints\": [ ]\n}}"
+                        );
+                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+                        let stream = lines.get_mut().get_mut();
+                        stream.write_all((head + &list).as_bytes()).await.expect("written");
+                    }
+                    Some(Reply::Silence) | None => {
+                        silent.push(lines);
+                        break;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Runs a watch against a service with that script; `asks` stands for the module and is told of each list,
+    /// with the wish to ask at hand.
+    async fn watch(
+        mode: Discovery, index: Option<u64>, script: Vec<Reply>, calls: usize,
+        asks: impl Fn(ListUpdate, &Notify) + 'static,
+    ) -> Vec<(Instant, String)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (inputs, mut lists) = mpsc::unbounded_channel();
+        let (seen, mut came) = mpsc::unbounded_channel();
+        let follow = Rc::new(Notify::new());
+        let watching = mode == Discovery::Push;
+        let random = rand_core::SeedableRng::seed_from_u64(3);
+        let watch = Watch { mode, index, watching, follow: follow.clone(), inputs, random };
+        let (_held, addresses) = tokio::sync::watch::channel(address);
+        let local = tokio::task::LocalSet::new();
+        local.spawn_local(service(listener, script, seen));
+        local.spawn_local(watch.run(addresses));
+        local.spawn_local(async move {
+            follow.notify_one();
+            while let Some(Input::List(update, _)) = lists.recv().await {
+                asks(update, &follow);
+            }
+        });
+        let all = async {
+            let mut all = Vec::new();
+            while all.len() < calls {
+                all.push(came.recv().await.expect("a call"));
+            }
+            all
         };
-        match line {
-            Some(line) => ask(line, address, &path).await,
-            None => Err("no connection".into()),
+        local.run_until(all).await
+    }
+
+    fn wait_of(path: &str) -> Duration {
+        let wait = path.split("wait_ms=").nth(1).map_or(0, |w| w.parse().expect("whole milliseconds"));
+        Duration::from_millis(wait)
+    }
+
+    fn asks_when_silent(update: ListUpdate, follow: &Notify) {
+        if update == ListUpdate::Silent {
+            follow.notify_one();
+        }
+    }
+
+    /// What a silent watch misses counts as told 2 s after its wait: by then the next call has been made, with
+    /// time left for its answer.
+    #[tokio::test(start_paused = true)]
+    async fn a_silent_watch_is_given_up_soon_after_its_wait() {
+        let asked = Discovery::Subscribe(beechworks::Micros(10_000_000));
+        for (mode, least) in [(asked, 15.0), (Discovery::Push, 4.0)] {
+            let script = vec![Reply::List(5), Reply::Silence, Reply::Silence];
+            let calls = watch(mode, Some(4), script, 3, asks_when_silent).await;
+            let (called, path) = &calls[1];
+            assert!(wait_of(path).as_secs_f64() >= least, "{path}");
+            let late = calls[2].0 - *called - wait_of(path);
+            assert!(late <= Duration::from_millis(750), "{late:?} after the wait of {path}");
         }
     }
+
+    /// Waits that all end together would have all proxies ask together.
+    #[tokio::test(start_paused = true)]
+    async fn the_waits_of_watches_differ() {
+        let mode = Discovery::Subscribe(beechworks::Micros(10_000_000));
+        let script = (1..9).map(Reply::List).collect();
+        let calls = watch(mode, Some(0), script, 9, asks_when_silent).await;
+        let waits: std::collections::BTreeSet<Duration> = calls.iter().map(|c| wait_of(&c.1)).collect();
+        assert!(waits.len() >= 8, "{waits:?}");
+        assert!(waits.iter().all(|w| (15.0..=25.0).contains(&w.as_secs_f64())), "{waits:?}");
+    }
 }
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -10,6 +10,8 @@
 mod upstream;
 mod wire;
 
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -105,6 +107,7 @@
         index: config.known.as_ref().map(|k| k.index),
         follow: follow.clone(),
         inputs: sender.clone(),
+        random: Pcg32::seed_from_u64(config.seed),
     };
     if let Some(known) = config.known {
         let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known.targets));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,6 +286,8 @@
     Cached,
     /// The call or the subscription failed; the list held stays.
     Lost,
+    /// The call has outlived its wait without a word; the list held stays.
+    Silent,
 }
 
 /// How an attempt ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -158,6 +158,10 @@
                 self.asking.lost(now, &self.cfg, self.dice.unit());
                 self.log(now, "discovery lost, asking again".into());
             }
+            ListUpdate::Silent => {
+                self.asking.silent(now, &self.cfg);
+                self.log(now, "discovery silent, asking anew".into());
+            }
             ListUpdate::Changes | ListUpdate::Full => self.asking.answered(),
             ListUpdate::Cached if list.is_empty() => {}
             ListUpdate::Cached => self.asking.have_old_list(now, &self.cfg, || self.dice.unit()),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -198,3 +198,46 @@
     let refused = ids.iter().filter(|id| host.requests[id].answer == Some("refused")).count();
     assert!(refused <= 6, "{refused} of 300 refused");
 }
+
+/// One of so many proxies that ask, with an old list; it has asked and nothing has come yet.
+fn asking(proxies: u32, position: u32) -> Host {
+    let discovery = Discovery::Subscribe(Micros(10_000_000));
+    let cfg = Config { proxies, position, discovery, ..Config::example() };
+    let mut host = Host::new(cfg, u64::from(position) + 1);
+    host.members(ListUpdate::Cached, (0..60).map(|i| backend(i, 0, 0)).collect());
+    next_call(&mut host);
+    host
+}
+
+/// Lets time pass up to the next call of discovery; tells how long that took, s.
+fn next_call(host: &mut Host) -> f64 {
+    let (before, start) = (host.follows, host.now);
+    while host.follows == before {
+        assert!((host.now - start).secs() < 100.0, "it never asks again");
+        host.advance(host.cfg.tick.0);
+    }
+    (host.now - start).secs()
+}
+
+fn news(host: &mut Host, update: ListUpdate) {
+    host.event(Event::Members { update, backends: Vec::new() });
+}
+
+#[test]
+fn a_watch_that_fell_silent_is_opened_anew_at_once_by_few_and_by_many() {
+    // Six proxies whose watches fell silent took the time-out for a call that had stood in the queue and asked
+    // 0.2 to 0.7 s later, past the moment from which the drains they had missed counted as told. Three hundred
+    // would have asked half a minute later.
+    for proxies in [1, 6, 300] {
+        for answered in [false, true] {
+            let mut host = asking(proxies, 0);
+            if answered {
+                news(&mut host, ListUpdate::Changes);
+            }
+            host.advance(21_000_000);
+            let before = host.follows;
+            news(&mut host, ListUpdate::Silent);
+            assert_eq!(host.follows, before + 1, "{proxies} proxies, answered before: {answered}");
+        }
+    }
+}
