Tell a watch that broke from a call that stood in the queue, and bound the waits

Seen while reading for the silent watches, then shown by tests: `Asking::lost` told a queued call by its age alone (`now - self.asked >= QUEUED`). A watch that had stood for 12 s and was reset counted as queued, so that one of 300 proxies asked again after 12 to 36 s with a service in good order. And waits after queued calls doubled to two rounds of all proxies, up to 72 s with 300, while a proxy is held to its list for 40 s after a failed call (four times `must_ask_in_us`): from then on it would count as told what it had not asked for.

Ruled out: the repeat of unanswered calls as the cause; it moves `asked` forward and only hides this for 1 s in 5.

Fix: asking remembers whether the last call is out or waits for news (answered once, or older than any queue). A watch that breaks is opened anew within the spread that first calls have (8 s with 300 proxies, at once with few), and no wait exceeds four fifths of the time for which a proxy is held to its list.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -8,8 +8,11 @@
 const CALL: f64 = 0.08;
 /// Proxies that may all ask at once: their calls are through before the first of them could time out.
 const FEW: u32 = 4;
-/// Part of the time after which a silent proxy counts as told by which its first call has gone out.
+/// Part of the time after which a silent proxy counts as told by which its first call has gone out, or the
+/// one after a failure: until then it is held to the list that it has.
 const FIRST_BY: f64 = 0.8;
+/// After a failed call a proxy is held to its list for this many times the time told.
+const FAILED_HOLDS: f64 = 4.0;
 /// A call that fails after this time, s, has stood in the queue: the service is up, with too much to do. What
 /// fails sooner was refused at the door or found nobody, and costs the service nothing.
 const QUEUED: f64 = 1.0;
@@ -23,6 +26,18 @@
 /// An unanswered call is repeated after this part of the time told: it was lost.
 const REPEAT: f64 = 0.5;
 
+/// What has become of the last call.
+#[derive(Clone, Copy, Default)]
+enum Call {
+    /// It has failed, or there was none.
+    #[default]
+    None,
+    /// It went out then and may stand in the service's queue.
+    Out(Time),
+    /// It was answered, or has outlived every queue: it waits for news.
+    Waits,
+}
+
 /// The state of asking.
 #[derive(Default)]
 pub(crate) struct Asking {
@@ -30,8 +45,7 @@
     pub due: Option<Time>,
     /// The last wait after a failure, s.
     wait: f64,
-    /// When the call that is out went out.
-    asked: Time,
+    call: Call,
 }
 
 impl Asking {
@@ -44,8 +58,7 @@
     pub fn have_old_list(&mut self, now: Time, cfg: &Config, unit: impl FnOnce() -> f64) {
         let Discovery::Subscribe(within) = cfg.discovery else { return };
         if self.due == Some(Time(0)) && cfg.proxies > FEW {
-            let spread = (round(cfg)).min(within.secs() * FIRST_BY);
-            self.due = Some(now + Micros::from_secs(spread * unit()));
+            self.due = Some(now + Micros::from_secs(spread(cfg, within) * unit()));
         }
     }
 
@@ -53,13 +66,24 @@
     pub fn lost(&mut self, now: Time, cfg: &Config, unit: f64) {
         let Discovery::Subscribe(within) = cfg.discovery else { return };
         let told = within.secs();
-        let refused_most = (told * REFUSED_MOST.0).max(f64::from(cfg.proxies) * REFUSED_MOST.1).max(SOON);
-        let (least, most) = if (now - self.asked).secs() < QUEUED || cfg.proxies <= FEW {
-            (SOON, refused_most)
-        } else {
-            (round(cfg), refused_most.max(round(cfg) * ROUNDS))
+        let queued = match std::mem::take(&mut self.call) {
+            // A watch that breaks has stood in no queue, and all proxies may have lost theirs together.
+            Call::Waits => {
+                let most = if cfg.proxies > FEW { spread(cfg, within) } else { SOON };
+                self.wait = 0.0;
+                self.due = Some(now + Micros::from_secs(most * unit));
+                return;
+            }
+            Call::Out(since) => (now - since).secs() >= QUEUED && cfg.proxies > FEW,
+            Call::None => false,
         };
-        self.wait = (self.wait * 2.0).clamp(least, most);
+        let refused_most = (told * REFUSED_MOST.0).max(f64::from(cfg.proxies) * REFUSED_MOST.1).max(SOON);
+        // Chance adds half to a wait.
+        let held = told * FAILED_HOLDS * FIRST_BY / 1.5;
+        let (least, most) =
+            if queued { (round(cfg), refused_most.max(round(cfg) * ROUNDS)) } else { (SOON, refused_most) };
+        let most = most.min(held.max(SOON));
+        self.wait = (self.wait * 2.0).clamp(least.min(most), most);
         self.due = Some(now + Micros::from_secs(self.wait * (0.5 + unit)));
     }
 
@@ -68,13 +92,13 @@
     /// proxies whose watches fell silent together do not ask together.
     pub fn silent(&mut self, now: Time, cfg: &Config) {
         if cfg.discovery != Discovery::Push {
-            self.due = Some(now);
+            (self.call, self.due) = (Call::None, Some(now));
         }
     }
 
     /// The list or its changes have come.
     pub fn answered(&mut self) {
-        (self.due, self.wait) = (None, 0.0);
+        (self.due, self.wait, self.call) = (None, 0.0, Call::Waits);
     }
 
     /// Whether it is time to ask; that counts as asked.
@@ -82,7 +106,7 @@
         let Discovery::Subscribe(within) = cfg.discovery else { return false };
         let due = self.due.is_some_and(|at| now >= at);
         if due {
-            self.asked = now;
+            self.call = if matches!(self.call, Call::None) { Call::Out(now) } else { Call::Waits };
             self.due = Some(now + within.times(REPEAT));
         }
         due
@@ -93,3 +117,8 @@
 fn round(cfg: &Config) -> f64 {
     f64::from(cfg.proxies) * CALL
 }
+
+/// The time over which all proxies spread calls that one event calls for, s.
+fn spread(cfg: &Config, within: Micros) -> f64 {
+    round(cfg).min(within.secs() * FIRST_BY)
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -241,3 +241,38 @@
         }
     }
 }
+
+#[test]
+fn a_watch_that_broke_is_opened_anew_within_the_time_told_and_not_by_all_at_once() {
+    // A watch that had stood for a while and was reset counted as a call that had stood in the queue.
+    let mut at = Vec::new();
+    for position in 0..300 {
+        let mut host = asking(300, position);
+        news(&mut host, ListUpdate::Changes);
+        host.advance(12_000_000);
+        news(&mut host, ListUpdate::Lost);
+        at.push(Time((next_call(&mut host) * 1e6) as u64));
+    }
+    assert!(at.iter().all(|t| *t <= Time(10_000_000)), "{:?}", at.iter().max());
+    assert!(most_in_a_second(at) <= 60, "spread over the time told");
+    let mut host = asking(3, 0);
+    news(&mut host, ListUpdate::Changes);
+    host.advance(12_000_000);
+    news(&mut host, ListUpdate::Lost);
+    assert!(next_call(&mut host) <= 0.2, "few need not spread");
+}
+
+#[test]
+fn calls_that_fail_in_the_queue_are_repeated_within_the_time_that_a_proxy_is_held_to_its_list() {
+    // Waits doubled to two rounds of all proxies, 24 to 72 s with three hundred; after a failed call a proxy is
+    // held to its list for four times the time told, 40 s here.
+    for position in 0..20 {
+        let mut host = asking(300, position);
+        for _ in 0..5 {
+            host.advance(2_000_000);
+            news(&mut host, ListUpdate::Lost);
+            let waited = next_call(&mut host);
+            assert!((4.0..=36.0).contains(&waited), "{waited} s after a failure");
+        }
+    }
+}
