Forget a wish to ask that comes while a call of discovery is out

The module repeats an unanswered call after half of the time told, 5 s. On sockets that call is a watch that waits, and `follow` (a Notify) kept the wish: when the watch failed later, `notified()` returned at once and the next call went out without the module's wait. All proxies of a service that goes down would call again in that moment.

To blame: `Watch::watch` in discovery.rs, which looked at `follow` only before a call. Fix: wishes that come during a call are taken by that call. Test: a_wish_to_ask_during_a_call_is_not_kept_for_later (real socket, RST by SO_LINGER 0); it fails without it (run).

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -206,7 +206,8 @@
         Duration::from_millis((wait * 1000.0) as u64)
     }
 
-    /// One call. An agent that never answers must not hold the watch: every call has its time.
+    /// One call. An agent that never answers must not hold the watch: every call has its time. A wish to ask
+    /// that comes meanwhile is this call: kept for later, it would undo the module's wait after a failure.
     async fn call(
         &self, line: &mut Option<Line>, address: SocketAddr, wait: Duration,
     ) -> Result<List, Missed> {
@@ -221,9 +222,17 @@
             };
             ask(line, address, &path).await
         };
-        match tokio::time::timeout(time, answer).await {
-            Ok(answer) => answer.map_err(Missed::Failed),
-            Err(_) => Err(Missed::Silent),
+        let call = tokio::time::timeout(time, answer);
+        tokio::pin!(call);
+        loop {
+            tokio::select! {
+                biased;
+                () = self.follow.notified() => {}
+                answer = &mut call => return match answer {
+                    Ok(answer) => answer.map_err(Missed::Failed),
+                    Err(_) => Err(Missed::Silent),
+                },
+            }
         }
     }
 }
@@ -240,6 +249,7 @@
     enum Reply {
         List(u64),
         Silence,
+        Reset,
     }
 
     /// A service on a socket of the same thread: with the clock paused, time moves on only once all have said
@@ -268,6 +278,10 @@
                         let stream = lines.get_mut().get_mut();
                         stream.write_all((head + &list).as_bytes()).await.expect("written");
                     }
+                    Some(Reply::Reset) => {
+                        let _ = lines.get_ref().get_ref().set_zero_linger();
+                        break;
+                    }
                     Some(Reply::Silence) | None => {
                         silent.push(lines);
                         break;
@@ -347,4 +361,19 @@
         assert!(waits.len() >= 8, "{waits:?}");
         assert!(waits.iter().all(|w| (15.0..=25.0).contains(&w.as_secs_f64())), "{waits:?}");
     }
+
+    /// The module repeats its wish to ask while a watch waits. Kept, that wish had the next call go out right after
+    /// a failure, whatever pause the module wanted.
+    #[tokio::test(start_paused = true)]
+    async fn a_wish_to_ask_during_a_call_is_not_kept_for_later() {
+        let mode = Discovery::Subscribe(beechworks::Micros(10_000_000));
+        let script = vec![Reply::List(5), Reply::List(6), Reply::Reset, Reply::List(7)];
+        let calls = watch(mode, Some(4), script, 4, |update, follow| {
+            if update == ListUpdate::Full {
+                follow.notify_one(); // the next call is out by now
+            }
+        });
+        let stopped = tokio::time::timeout(Duration::from_secs(3600), calls).await;
+        assert!(stopped.is_err(), "it called though the module had not asked for it");
+    }
 }
