Do not send what nobody waits for, also where attempts may not be called off

Found by review: `Balancer::close` cancels the attempts of a request whose client has left only where the settings allow it. Elsewhere an attempt that was still dialling went on, and its request was written whenever the connection came up, for nobody. And an attempt called off or overdue during its dial was reported as `Cancelled` or `TimedOut`, which may have run, though not a byte had been written.

To blame: `Driver::take` (Input::Left), `answer` and `ended` in driver.rs, none of which looked at what was out. Fix: an attempt tells how far it has come (`Stage`); once nobody waits for a request, what has not begun is dropped, and what was ended before it began is reported as never run. A backend that has been told to drain is no longer dialled at all. Where cancelling is allowed nothing changes but the outcome that is told.

Tests (tests/crossings.rs, real sockets): a_client_that_leaves_during_the_dial_is_not_sent_on holds the dial in a full backlog and fails without the fix where cancelling is not allowed (run). The others there cover paths that held already: held requests, back-off, drains told during a try, resets at the answer and under an unsafe request, SIGTERM.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::discovery::Target;
-use crate::upstream::{Call, Ended, Pool, Upstream};
+use crate::upstream::{Call, Ended, Pool, Stage, Upstream};
 use beechworks::*;
 use bytes::Bytes;
 use hyper::Response;
@@ -48,9 +48,22 @@
 /// An attempt that is out.
 struct Attempt {
     sent: Time,
+    stage: Rc<Stage>,
     task: AbortHandle,
 }
 
+impl Attempt {
+    /// Ends it from this side. What was not begun has never run, whatever the reason.
+    fn end(self, begun: Outcome, not_begun: Outcome) -> Outcome {
+        self.task.abort();
+        if self.stage.begun() {
+            begun
+        } else {
+            not_begun
+        }
+    }
+}
+
 struct Open {
     deadline: Time,
     call: Rc<Call>,
@@ -210,7 +223,7 @@
             Input::Left(request) => {
                 if self.requests.get_mut(&request).is_some_and(|r| r.reply.take().is_some()) {
                     self.events.push(Event::ClientGone { request });
-                    self.forget(request);
+                    self.withdraw(request);
                 }
             }
             Input::Ended(request, attempt, ended) => self.ended(request, attempt, ended),
@@ -243,7 +256,7 @@
         let now = self.clock.now();
         let Some(r) = self.requests.get_mut(&request) else { return };
         // One outcome an attempt: what it sends after it was called off does not count.
-        let Some(Attempt { sent, task }) = r.attempts.remove(&attempt) else { return };
+        let Some(Attempt { sent, task, .. }) = r.attempts.remove(&attempt) else { return };
         task.abort();
         if let Some(answer) = ended.answer {
             if let Some(reply) = r.reply.take() {
@@ -256,6 +269,24 @@
         let (outcome, settled) = (ended.outcome, r.reply.is_none());
         let latency = now - sent;
         self.events.push(Event::AttemptEnded(AttemptEnd { request, attempt, outcome, latency, settled }));
+        if settled {
+            self.withdraw(request);
+        }
+    }
+
+    /// Nobody waits for the request any more: what has not been begun of it is not sent, also where attempts
+    /// may not be called off. Those that have been begun are the module's to judge.
+    fn withdraw(&mut self, request: RequestId) {
+        let now = self.clock.now();
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        let (begun, waiting): (HashMap<_, _>, HashMap<_, _>) =
+            std::mem::take(&mut r.attempts).into_iter().partition(|(_, a)| a.stage.begun());
+        r.attempts = begun;
+        for (attempt, a) in waiting {
+            let (latency, outcome) = (now - a.sent, a.end(Outcome::Cancelled, Outcome::NeverSent));
+            let end = AttemptEnd { request, attempt, outcome, latency, settled: true };
+            self.events.push(Event::AttemptEnded(end));
+        }
         self.forget(request);
     }
 
@@ -282,7 +313,7 @@
         if let Some(reply) = self.requests.get_mut(&request).and_then(|r| r.reply.take()) {
             let _ = reply.send(answer);
         }
-        self.forget(request);
+        self.withdraw(request);
     }
 
     fn list(&mut self, update: ListUpdate, targets: Vec<Target>) {
@@ -326,9 +357,9 @@
             self.deadlines.pop_first();
             let Some(r) = self.requests.get_mut(&request) else { continue };
             let settled = r.reply.is_none();
-            for (attempt, Attempt { sent, task }) in r.attempts.drain() {
-                task.abort();
-                let (outcome, latency) = (Outcome::TimedOut, now - sent);
+            for (attempt, a) in r.attempts.drain() {
+                // A connection that did not come up by then is as good as one that never does.
+                let (latency, outcome) = (now - a.sent, a.end(Outcome::TimedOut, Outcome::ConnectFailed));
                 let end = AttemptEnd { request, attempt, outcome, latency, settled };
                 self.events.push(Event::AttemptEnded(end));
             }
@@ -422,9 +453,9 @@
             Action::Fail { request } => self.answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 let Some(r) = self.requests.get_mut(&request) else { return };
-                let Some(Attempt { sent, task }) = r.attempts.remove(&attempt) else { return };
-                task.abort();
-                let (outcome, latency, settled) = (Outcome::Cancelled, now - sent, r.reply.is_none());
+                let Some(a) = r.attempts.remove(&attempt) else { return };
+                let (latency, settled) = (now - a.sent, r.reply.is_none());
+                let outcome = a.end(Outcome::Cancelled, Outcome::NeverSent);
                 let end = AttemptEnd { request, attempt, outcome, latency, settled };
                 self.events.push(Event::AttemptEnded(end));
                 self.forget(request);
@@ -448,9 +479,10 @@
         let Some(r) = self.requests.get_mut(&request) else { return };
         let attempt = AttemptNo(r.count);
         r.count += 1;
-        let upstream = self.backends.get(&backend).filter(|_| r.reply.is_some() && r.deadline > now).cloned();
+        let owed = r.reply.is_some() && r.deadline > now;
+        let upstream = self.backends.get(&backend).filter(|u| owed && u.open.get()).cloned();
         let Some(upstream) = upstream else {
-            // Answered meanwhile, or no such backend any more.
+            // Answered meanwhile, or the backend has been told to drain or is gone.
             let (outcome, latency, settled) = (Outcome::NeverSent, Micros(0), r.reply.is_none());
             let end = AttemptEnd { request, attempt, outcome, latency, settled };
             self.events.push(Event::AttemptEnded(end));
@@ -463,12 +495,14 @@
             }
         }
         let (call, deadline) = (r.call.clone(), r.deadline);
+        let stage = Rc::new(Stage::default());
+        let reached = stage.clone();
         let mut report = Report { to: inputs, request, attempt, told: false };
         let task = tokio::task::spawn_local(async move {
-            let ended = pool.attempt(&upstream, &call, deadline).await;
+            let ended = pool.attempt(&upstream, &call, deadline, &reached).await;
             report.tell(ended);
         });
-        r.attempts.insert(attempt, Attempt { sent: now, task: task.abort_handle() });
+        r.attempts.insert(attempt, Attempt { sent: now, stage, task: task.abort_handle() });
     }
 }
 
@@ -493,7 +527,7 @@
         let sent = clock.now();
         let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
         let open = driver.requests.get_mut(&id).expect("open");
-        open.attempts.insert(AttemptNo(0), Attempt { sent, task });
+        open.attempts.insert(AttemptNo(0), Attempt { sent, stage: Rc::default(), task });
         open.count = 1;
         let ended = Ended { outcome: Outcome::Ok, answer: Some(Response::new(Bytes::new())), crowded: false };
         driver.take(Input::Ended(id, AttemptNo(0), ended));
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -38,6 +38,17 @@
     pub body: Bytes,
 }
 
+/// How far an attempt has come, for whoever may end it.
+#[derive(Default)]
+pub struct Stage(RefCell<Option<Rc<Progress>>>);
+
+impl Stage {
+    /// Some byte of the request was handed to the socket. Until then it has not been sent.
+    pub fn begun(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|progress| progress.begun.get())
+    }
+}
+
 /// How an attempt ended, with the answer if it was served.
 pub struct Ended {
     pub outcome: Outcome,
@@ -95,7 +106,6 @@
     /// Sends the request and reads the whole answer while running the connection, whose own end shows in what
     /// the exchange gets.
     async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
-        self.progress.restart();
         let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
         poll_fn(|cx| {
             if !self.ended {
@@ -219,7 +229,7 @@
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
-    pub async fn attempt(&self, upstream: &Upstream, call: &Call, deadline: Time) -> Ended {
+    pub async fn attempt(&self, upstream: &Upstream, call: &Call, deadline: Time, stage: &Stage) -> Ended {
         loop {
             let pooled = self.pooled(upstream).await;
             let fresh = pooled.is_none();
@@ -236,6 +246,8 @@
                 return Outcome::NeverSent.into();
             }
             let left = (deadline - self.clock.now()).0 / 1000;
+            link.progress.restart();
+            *stage.0.borrow_mut() = Some(link.progress.clone());
             return match link.exchange(request(call, left)).await {
                 Ok(mut ended) => {
                     ended.crowded &= fresh;
@@ -377,10 +389,11 @@
         let deadline = clock.now() + second.times(30.0);
         // Local tasks, as in the proxy: woken ones run on for a while before the runtime looks at its sockets.
         let attempts = async move {
-            let one = body(pool.attempt(&upstream, &call, deadline).await);
+            let stage = Stage::default();
+            let one = body(pool.attempt(&upstream, &call, deadline, &stage).await);
             next.send(()).expect("waited for");
             surplus.recv().expect("written");
-            (one, body(pool.attempt(&upstream, &call, deadline).await))
+            (one, body(pool.attempt(&upstream, &call, deadline, &stage).await))
         };
         let local = tokio::task::LocalSet::new();
         let bodies = local.run_until(async { tokio::task::spawn_local(attempts).await.expect("no panic") });
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,299 @@
+//! The built proxy at narrow moments: something ends just as something else is owed. Each crossing is forced, by a
+//! connection that can't come up yet, a peer that holds its reply, or a request that is known to be open.
+
+mod sockets;
+use serde_json::{json, Value};
+use sockets::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{mpsc, Mutex};
+use std::time::Duration;
+
+/// A listener whose queue is full, so that further connections hang while they are made.
+struct Clogged {
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+}
+
+impl Clogged {
+    fn start() -> Clogged {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let brief = Duration::from_millis(200);
+        let queued =
+            std::iter::from_fn(|| TcpStream::connect_timeout(&address, brief).ok()).take(100).collect();
+        Clogged { listener, queued }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Whether some connection to it is being made.
+    fn is_dialled(&self) -> bool {
+        let to = format!("0100007F:{:04X} 02", self.address().port());
+        std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&to)
+    }
+
+    /// Takes all connections from now on; tells how many bytes came on them before one that says so ended it.
+    fn bytes(self) -> usize {
+        let address = self.address();
+        drop(self.queued);
+        let counting = std::thread::spawn({
+            let listener = self.listener;
+            move || {
+                let mut sum = 0;
+                for mut stream in listener.incoming().map_while(Result::ok) {
+                    let mut all = Vec::new();
+                    stream.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+                    let _ = stream.read_to_end(&mut all);
+                    if all == b"done" {
+                        break;
+                    }
+                    sum += all.len();
+                }
+                sum
+            }
+        });
+        // The queue frees up as it is taken from: this gets in once all before it have.
+        TcpStream::connect(address).unwrap().write_all(b"done").unwrap();
+        counting.join().unwrap()
+    }
+}
+
+fn list(backends: &[(&str, SocketAddr, &str)]) -> Vec<Value> {
+    backends.iter().map(|(name, address, status)| line(name, *address, status, 0)).collect()
+}
+
+/// Whether a request with the id of this one is open: a second with that id is turned away then.
+fn is_open(proxy: &Proxy, text: &str) -> bool {
+    let left = text.lines().find(|l| l.starts_with("X-Time-Left-Ms")).unwrap();
+    ask(proxy, &text.replace(left, "X-Time-Left-Ms: 0")).status() == 409
+}
+
+/// Ends a connection: in order, or by a reset.
+fn leave(mut client: Client, reset: bool) {
+    if reset {
+        socket2::SockRef::from(client.stream()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    drop(client);
+}
+
+#[test]
+fn a_client_that_leaves_during_the_dial_is_not_sent_on() {
+    for (cancel, reset, more) in [(true, false, ""), (false, false, ""), (false, true, "")] {
+        let backend = Clogged::start();
+        let discovery = Discovery::start();
+        let mut config = config(discovery.address, &list(&[("a", backend.address(), "ready")]));
+        config["settings"]["limits"]["dial_timeout_us"] = json!(60_000_000);
+        config["settings"]["limits"]["cancel"] = json!(cancel);
+        let proxy = Proxy::start(&config);
+        let mut client = Client::open(proxy.address);
+        // More bytes behind the request, which nobody reads before it is answered.
+        client.send(&(request("pay", 60_000) + more));
+        until("the dial", || backend.is_dialled());
+        leave(client, reset);
+        until("the end of the dial", || !backend.is_dialled());
+        assert_eq!(backend.bytes(), 0, "cancel {cancel}, reset {reset}, more {more:?}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_request_is_held_is_not_sent_on() {
+    for cancel in [true, false] {
+        let backend = Backend::start(|_| ok("x"));
+        let discovery = Discovery::start();
+        let mut config = config(discovery.address, &list(&[("a", backend.address, "draining")]));
+        config["settings"]["limits"]["cancel"] = json!(cancel);
+        let proxy = Proxy::spawn(&config);
+        until("an answer", || proxy.ready() == 503);
+        for more in [""] {
+            let text = request("pay", 60_000);
+            let mut client = Client::open(proxy.address);
+            client.send(&(text.clone() + more));
+            until("the request held", || is_open(&proxy, &text));
+            leave(client, false);
+            until("the request dropped", || !is_open(&proxy, &text));
+        }
+        discovery.tell(false, &list(&[("a", backend.address, "ready")]));
+        until("ready", || proxy.ready() == 200);
+        assert_eq!(ask(&proxy, &request("pay", 7000)).status(), 200);
+        assert_eq!(backend.requests().len(), 1, "cancel {cancel}");
+    }
+}
+
+fn turned_away() -> Reply {
+    Reply::Say("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".into())
+}
+
+#[test]
+fn a_client_that_leaves_before_the_next_try_is_not_sent_on() {
+    let (full, other) = (Backend::start(|_| turned_away()), Backend::start(|_| ok("x")));
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&config(discovery.address, &list(&[("a", full.address, "ready")])));
+    let text = request("pay", 60_000);
+    let mut client = Client::open(proxy.address);
+    client.send(&text);
+    until("the first try", || full.requests().len() == 1);
+    assert!(is_open(&proxy, &text), "it waits for another backend");
+    leave(client, false);
+    until("the request dropped", || !is_open(&proxy, &text));
+    discovery.tell(true, &list(&[("b", other.address, "ready")]));
+    assert_eq!(ask(&proxy, &request("pay", 7000)).status(), 200);
+    assert_eq!(other.requests().len(), 1);
+}
+
+#[test]
+fn a_drain_or_an_end_told_during_a_try_holds_for_the_next_one() {
+    for status in ["draining", "gone"] {
+        let (release, held) = mpsc::channel::<()>();
+        let held = std::sync::Arc::new(Mutex::new(held));
+        let start = || {
+            let held = held.clone();
+            Backend::start(move |_| {
+                let _ = held.lock().unwrap().recv();
+                turned_away()
+            })
+        };
+        let (a, b) = (start(), start());
+        let discovery = Discovery::start();
+        let mut config =
+            config(discovery.address, &list(&[("a", a.address, "ready"), ("b", b.address, "ready")]));
+        config["settings"]["limits"]["parallel_tries"] = json!(false);
+        config["settings"]["limits"]["cancel"] = json!(false);
+        let proxy = Proxy::start(&config);
+        let mut client = Client::open(proxy.address);
+        client.send(&request("pay", 2000));
+        until("the first try", || a.requests().len() + b.requests().len() == 1);
+        let (name, other) = if a.requests().is_empty() { ("a", &a) } else { ("b", &b) };
+        discovery.tell(false, &list(&[(name, other.address, status)]));
+        drop(release);
+        assert_eq!(client.answer().map(|m| m.status()), Some(503), "never run, so it may come again");
+        assert!(other.requests().is_empty(), "{status}");
+    }
+}
+
+/// An unsafe request on a reused connection that breaks once its bytes are there may have run.
+#[test]
+fn an_idle_connection_that_breaks_under_an_unsafe_request_is_no_reason_to_send_it_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let seen = std::thread::spawn(move || {
+        let mut stream = listener.accept().unwrap().0;
+        let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
+        assert!(read_message(&mut reader).is_some());
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").unwrap();
+        assert!(read_message(&mut reader).is_some());
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        drop((stream, reader));
+        // Whatever else comes until the test's own word.
+        let mut more = 0;
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut buffer = [0; 4];
+            match stream.read(&mut buffer) {
+                Ok(4) if &buffer == b"done" => break,
+                Ok(n) => more += n,
+                Err(_) => {}
+            }
+        }
+        more
+    });
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&config(discovery.address, &list(&[("a", address, "ready")])));
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+    assert_eq!(ask(&proxy, &request("pay", 2000)).status(), 502);
+    TcpStream::connect(address).unwrap().write_all(b"done").unwrap();
+    assert_eq!(seen.join().unwrap(), 0);
+}
+
+/// The answer and the reset come in the same moment: one final answer, and one run.
+#[test]
+fn a_reset_in_the_moment_of_the_answer_leaves_one_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let mut reader = std::io::BufReader::new(stream);
+            if read_message(&mut reader).is_some() {
+                let mut stream = reader.into_inner();
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").unwrap();
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+        }
+    });
+    let other = Backend::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let lines = list(&[("a", address, "ready"), ("b", other.address, "draining")]);
+    let proxy = Proxy::start(&config(discovery.address, &lines));
+    for _ in 0..20 {
+        let mut client = Client::open(proxy.address);
+        client.send(&request("pay", 1000));
+        // After a broken one the backend is left alone for a while: what is refused then was not sent.
+        let status = client.answer().map_or(0, |a| a.status());
+        assert!(matches!(status, 200 | 502 | 503), "{status}");
+        client.send(&request("pay", 0));
+        assert!(client.answer().is_some_and(|a| matches!(a.status(), 502 | 503)), "no second answer between");
+    }
+    assert!(other.requests().is_empty());
+}
+
+/// What a proxy is sent around SIGTERM, each in a stage of its own, is answered; nothing stays open after it.
+#[test]
+fn sigterm_finds_requests_at_each_stage() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = Mutex::new(held);
+    let backend = Backend::start(move |m| {
+        if m.start.contains("/held") {
+            let _ = held.lock().unwrap().recv();
+        }
+        ok(&"x".repeat(if m.start.contains("/large") { 60 << 10 } else { 1 }))
+    });
+    let discovery = Discovery::start();
+    let mut proxy = Proxy::start(&config(discovery.address, &list(&[("a", backend.address, "ready")])));
+    let pay = request("pay", 7000);
+    let (half_head, half_body) = (40, pay.len() - 2);
+    let mut parts: Vec<Client> =
+        [half_head, half_body, 0].iter().map(|_| Client::open(proxy.address)).collect();
+    parts[0].send(&pay[..half_head]);
+    let second = request("pay", 7000);
+    parts[1].send(&second[..half_body]);
+    let mut waiting = Client::open(proxy.address);
+    waiting.send(&request("read", 7000).replace("/a?", "/held?"));
+    until("the held one", || backend.requests().len() == 1);
+    let mut unread = Client::open(proxy.address);
+    unread.send(&request("read", 7000).replace("/a?", "/large?"));
+    until("the large one", || backend.requests().len() == 2);
+    let mut idle = Client::open(proxy.address);
+    idle.send(&request("read", 7000));
+    assert_eq!(idle.answer().map(|a| a.status()), Some(200));
+    proxy.terminate();
+    until("not ready", || proxy.ready() != 200);
+    idle.send(&request("read", 7000));
+    let crossed = idle.answer().expect("an answer while it is open");
+    assert_eq!((crossed.status(), crossed.header("connection")), (200, Some("close")));
+    parts[0].send(&pay[half_head..]);
+    parts[1].send(&second[half_body..]);
+    parts[2].send(&request("read", 7000));
+    drop(release);
+    for client in parts.iter_mut().chain([&mut waiting, &mut unread]) {
+        assert_eq!(client.answer().map(|a| a.status()), Some(200));
+        assert!(client.ends());
+    }
+    assert!(proxy.exit().success());
+}
+
+/// Told to end before it could serve, it still answers what it was sent.
+#[test]
+fn sigterm_before_the_first_list_ends_well() {
+    let discovery = Discovery::start();
+    let mut proxy = Proxy::spawn(&config(discovery.address, &[]));
+    until("an answer", || proxy.ready() == 503);
+    let mut fresh = Client::open(proxy.address);
+    proxy.terminate();
+    fresh.send(&request("read", 300));
+    assert_eq!(fresh.answer().map(|a| a.status()), Some(503));
+    assert!(proxy.exit().success());
+}
