See a client's end behind bytes that it sent after its request

Found by review, shown by a test: while a request is served, hyper looks for the end of its connection only if it holds no unread bytes. A client that sent one byte more and closed was never seen to leave: its request stayed held, was retried and was sent on, however long after.

Ruled out: the driver, which ends a held request on `Input::Left` (the same test without further bytes passes), and cancelling, allowed or not. To blame: `Server::serve` left the look-out to hyper.

Fix: client.rs wraps the socket.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -1,6 +1,7 @@
 //! The HTTP proxy: start-up, signals and exit codes. Every decision is the library's.
 #![forbid(unsafe_code)]
 
+mod client;
 mod clock;
 mod config;
 mod discovery;
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -1,5 +1,6 @@
 //! The client side: connections, and a request from its first byte to its answer.
 
+use crate::client::Socket;
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
 use crate::form::{self, Rules, Wrong};
@@ -17,6 +18,7 @@
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -238,12 +240,18 @@
             let service = hyper::service::service_fn(|request| Box::pin(self.handle(request, &link, &wrong)));
             let mut http = http1::Builder::new();
             http.max_buf_size(HEAD_BYTES).header_read_timeout(None);
-            let mut connection = http.serve_connection(TokioIo::new(stream), service);
+            let socket = Socket::new(stream);
+            let mut connection = http.serve_connection(TokioIo::new(socket.clone()), service);
             let mut told = false;
             let ended = loop {
                 tokio::select! {
                     biased;
                     ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break ended,
+                    // Nobody waits for the answer any more.
+                    () = poll_fn(|cx| match link.phase.get() {
+                        Phase::Taken => socket.poll_left(cx),
+                        Phase::Waiting(_) | Phase::Reading => Poll::Pending,
+                    }) => return,
                     () = link.close.notified() => match link.phase.get() {
                         // Nothing is taken and no answer on its way.
                         Phase::Reading => return,
@@ -257,11 +265,11 @@
             if let Err(e) = &ended {
                 tracing::debug!("client connection: {e}");
             }
-            if wrong.get() || ended.is_err() {
+            if wrong.get() || ended.is_err() || socket.is_cut() {
                 link.told.set(None);
-                let stream = connection.into_parts().io.into_inner();
+                drop(connection);
                 tokio::select! {
-                    () = linger(stream) => {}
+                    () = linger(socket) => {}
                     () = link.close.notified() => {}
                 }
             }
@@ -365,7 +373,7 @@
 }
 
 /// Ends a connection on which more may be coming than will be read.
-async fn linger(mut stream: TcpStream) {
+async fn linger(mut stream: Socket) {
     if stream.shutdown().await.is_err() {
         return;
     }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -68,6 +68,16 @@
     backends.iter().map(|(name, address, status)| line(name, *address, status, 0)).collect()
 }
 
+/// A configuration in which only its end ends a request: no deadline comes near.
+fn patient(discovery: &Discovery, backends: &[(&str, SocketAddr, &str)]) -> Value {
+    let mut config = config(discovery.address, &list(backends));
+    for class in config["settings"]["profiles"].as_array_mut().unwrap() {
+        class["aim_us"] = json!(600_000_000);
+        class["deadline_us"] = json!(600_000_000);
+    }
+    config
+}
+
 /// Whether a request with the id of this one is open: a second with that id is turned away then.
 fn is_open(proxy: &Proxy, text: &str) -> bool {
     let left = text.lines().find(|l| l.starts_with("X-Time-Left-Ms")).unwrap();
@@ -84,16 +94,22 @@
 
 #[test]
 fn a_client_that_leaves_during_the_dial_is_not_sent_on() {
-    for (cancel, reset, more) in [(true, false, ""), (false, false, ""), (false, true, "")] {
+    for (cancel, reset, more) in [
+        (true, false, ""),
+        (false, false, ""),
+        (false, true, ""),
+        (true, false, "GET "),
+        (false, false, "GET "),
+    ] {
         let backend = Clogged::start();
         let discovery = Discovery::start();
-        let mut config = config(discovery.address, &list(&[("a", backend.address(), "ready")]));
+        let mut config = patient(&discovery, &[("a", backend.address(), "ready")]);
         config["settings"]["limits"]["dial_timeout_us"] = json!(60_000_000);
         config["settings"]["limits"]["cancel"] = json!(cancel);
         let proxy = Proxy::start(&config);
         let mut client = Client::open(proxy.address);
         // More bytes behind the request, which nobody reads before it is answered.
-        client.send(&(request("pay", 60_000) + more));
+        client.send(&(request("pay", 600_000) + more));
         until("the dial", || backend.is_dialled());
         leave(client, reset);
         until("the end of the dial", || !backend.is_dialled());
@@ -101,17 +117,34 @@
     }
 }
 
+/// A client may send far more than is read ahead and go: its end is seen all the same.
+#[test]
+fn a_client_that_sends_much_and_goes_ends_its_attempt() {
+    let backend = Backend::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let proxy = Proxy::start(&patient(&discovery, &[("a", backend.address, "ready")]));
+    for more in [1, 100, 4000] {
+        let before = backend.closed();
+        let mut client = Client::open(proxy.address);
+        client.send(&(request("pay", 600_000) + &request("read", 600_000).repeat(more)));
+        until("the attempt", || backend.opened() == before + 1 && backend.requests().len() == before + 1);
+        leave(client, false);
+        until("its connection closed", || backend.closed() == before + 1);
+    }
+    assert_eq!(backend.requests().len(), 3, "nothing that came behind was sent on");
+}
+
 #[test]
 fn a_client_that_leaves_while_its_request_is_held_is_not_sent_on() {
     for cancel in [true, false] {
         let backend = Backend::start(|_| ok("x"));
         let discovery = Discovery::start();
-        let mut config = config(discovery.address, &list(&[("a", backend.address, "draining")]));
+        let mut config = patient(&discovery, &[("a", backend.address, "draining")]);
         config["settings"]["limits"]["cancel"] = json!(cancel);
         let proxy = Proxy::spawn(&config);
         until("an answer", || proxy.ready() == 503);
-        for more in [""] {
-            let text = request("pay", 60_000);
+        for more in ["", "GET "] {
+            let text = request("pay", 600_000);
             let mut client = Client::open(proxy.address);
             client.send(&(text.clone() + more));
             until("the request held", || is_open(&proxy, &text));
@@ -133,8 +166,8 @@
 fn a_client_that_leaves_before_the_next_try_is_not_sent_on() {
     let (full, other) = (Backend::start(|_| turned_away()), Backend::start(|_| ok("x")));
     let discovery = Discovery::start();
-    let proxy = Proxy::start(&config(discovery.address, &list(&[("a", full.address, "ready")])));
-    let text = request("pay", 60_000);
+    let proxy = Proxy::start(&patient(&discovery, &[("a", full.address, "ready")]));
+    let text = request("pay", 600_000);
     let mut client = Client::open(proxy.address);
     client.send(&text);
     until("the first try", || full.requests().len() == 1);
