Answer what comes after SIGTERM before the kill, and close unused connections by then

The process itself gave up after the longest deadline, counted from the close of the listener, whatever was still owed.

To blame: `Server::run` (only used connections were told to close), `Server::answer` (deadline), and the last accepts with a time-out of zero, which see only what the runtime has seen.

Fix: 0.7 s after SIGTERM unused connections close too; what is taken after SIGTERM is answered 0.1 s before the kill may come; the last accepts ask the socket itself until it has no more; a connection that is to be closed but has unread bytes is read once more first.

--- a/src/bin/gaugesaddle/client.rs
+++ b/src/bin/gaugesaddle/client.rs
@@ -3,8 +3,10 @@
 //! wait for its answer.
 
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -55,6 +57,13 @@
     pub fn is_cut(&self) -> bool {
         self.0.borrow().cut
     }
+
+    /// Whether bytes of the client wait to be read, also such as the runtime has not seen yet.
+    pub fn has_unread(&self) -> bool {
+        let shared = self.0.borrow();
+        let peeked = SockRef::from(&shared.stream).peek(&mut [MaybeUninit::uninit()]);
+        !shared.ahead.is_empty() || peeked.is_ok_and(|n| n > 0)
+    }
 }
 
 impl AsyncRead for Socket {
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -97,7 +97,7 @@
         inputs: sender.clone(),
         status: status.clone(),
         next: Cell::new(0),
-        stopping: Cell::new(false),
+        stopping: Cell::default(),
         links: RefCell::default(),
         ids: RefCell::default(),
         freed: Notify::new(),
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -27,6 +27,14 @@
 
 /// After SIGTERM new connections still come for a while; so long they are accepted.
 const STOP_ACCEPTING: Duration = Duration::from_millis(500);
+/// From SIGTERM an accepted connection may bring its first request for so long: what comes later may find the
+/// process killed before it is answered.
+const LAST_FIRST: Micros = Micros(700_000);
+/// The process may be killed so long after SIGTERM and the longest deadline, or after this longest one.
+const KILL: Micros = Micros(700_000);
+const KILL_LONGEST: Micros = Micros(3_000_000);
+/// What is taken after SIGTERM is answered so long before that, for the way to the client.
+const KILL_MARGIN: Micros = Micros(100_000);
 /// From its connect a client has this long for the head of its first request: those who never ask, or never
 /// end it, hold a place that others need.
 const FIRST_HEAD: Micros = Micros(2_200_000);
@@ -64,13 +72,22 @@
     pub inputs: mpsc::UnboundedSender<Input>,
     pub status: Rc<Status>,
     pub next: Cell<u64>,
-    pub stopping: Cell<bool>,
+    /// Set by SIGTERM.
+    pub stopping: Cell<Option<Stop>>,
     pub links: RefCell<BTreeMap<u64, Rc<Link>>>,
     /// The clients' own ids of the requests that are open.
     pub ids: RefCell<HashSet<HeaderValue>>,
     pub freed: Notify,
 }
 
+/// The end that is near, as it was told.
+#[derive(Clone, Copy)]
+pub struct Stop {
+    at: Time,
+    /// What is taken from now on is answered by then: the process may be killed a moment later.
+    answered_by: Time,
+}
+
 /// What a client connection is doing.
 #[derive(Clone, Copy)]
 enum Phase {
@@ -179,11 +196,11 @@
             }
             tokio::select! {
                 biased;
-                () = &mut stop, if !self.stopping.get() => {
-                    self.stopping.set(true);
+                () = &mut stop, if self.stopping.get().is_none() => {
+                    self.stopping.set(Some(self.stop()));
                     end.as_mut().reset(Instant::now() + STOP_ACCEPTING);
                 }
-                () = &mut end, if self.stopping.get() => break,
+                () = &mut end, if self.stopping.get().is_some() => break,
                 _ = look.tick() => self.close_overdue(),
                 () = self.freed.notified() => {}
                 accepted = listener.accept(), if !full => match accepted {
@@ -196,15 +213,14 @@
                 },
             }
         }
-        // What the kernel has accepted meanwhile counts as taken.
-        while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-            self.clone().serve(stream);
-        }
-        drop(listener);
-        let last = Instant::now() + duration(self.rules.longest);
+        self.accept_the_rest(listener);
+        // What was taken before SIGTERM may have all of its time; what has come since ends sooner.
+        let last = Instant::now() + duration(self.rules.longest + KILL);
         while !self.links.borrow().is_empty() && Instant::now() < last {
             let now = self.clock.now();
-            let between = |l: &&Rc<Link>| l.used.get() && matches!(l.phase.get(), Phase::Waiting(_));
+            let late = self.stopping.get().is_some_and(|stop| now - stop.at >= LAST_FIRST);
+            let between =
+                |l: &&Rc<Link>| (l.used.get() || late) && matches!(l.phase.get(), Phase::Waiting(_));
             self.links.borrow().values().filter(between).for_each(|l| l.tell_to_close(now));
             tokio::select! {
                 _ = look.tick() => self.close_overdue(),
@@ -213,6 +229,25 @@
         }
     }
 
+    fn stop(&self) -> Stop {
+        let at = self.clock.now();
+        let kill = at + self.rules.longest.min(KILL_LONGEST) + KILL;
+        Stop { at, answered_by: Time(kill.0 - KILL_MARGIN.0) }
+    }
+
+    /// What the kernel has accepted meanwhile counts as taken, also where the runtime has not seen it yet: the
+    /// socket itself is asked until it has no more.
+    fn accept_the_rest(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            match stream {
+                Ok(stream) => self.clone().serve(stream),
+                Err(e) => tracing::warn!("accept: {e}"),
+            }
+        }
+    }
+
     fn close_overdue(&self) {
         let now = self.clock.now();
         self.links.borrow().values().filter(|l| l.is_overdue(now)).for_each(|l| l.tell_to_close(now));
@@ -242,7 +277,7 @@
             http.max_buf_size(HEAD_BYTES).header_read_timeout(None);
             let socket = Socket::new(stream);
             let mut connection = http.serve_connection(TokioIo::new(socket.clone()), service);
-            let mut told = false;
+            let (mut told, mut spared) = (false, false);
             let ended = loop {
                 tokio::select! {
                     biased;
@@ -253,6 +288,13 @@
                         Phase::Waiting(_) | Phase::Reading => Poll::Pending,
                     }) => return,
                     () = link.close.notified() => match link.phase.get() {
+                        // A request that has come, though it has not been read, is served; but once only, for
+                        // there are clients that always send a little more.
+                        Phase::Waiting(_) if !spared && socket.has_unread() => {
+                            spared = true;
+                            link.told.set(None);
+                            continue;
+                        }
                         // Nothing is taken and no answer on its way.
                         Phase::Reading => return,
                         Phase::Waiting(_) if told || !link.used.get() => return,
@@ -293,7 +335,7 @@
         if wrong.get() && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
-        if self.stopping.get() || wrong.get() {
+        if self.stopping.get().is_some() || wrong.get() {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
@@ -305,7 +347,7 @@
         let length = body.size_hint().exact();
         form::framing(&head, length)?;
         if head.uri.path() == "/-/ready" && length == Some(0) {
-            let ready = self.status.serving.get() && !self.stopping.get();
+            let ready = self.status.serving.get() && self.stopping.get().is_none();
             return Ok(if ready {
                 plain(StatusCode::OK, "ready")
             } else {
@@ -332,11 +374,12 @@
         *sent.uri_mut() = head.uri.path_and_query().map(|p| p.clone().into()).unwrap_or_default();
         *sent.headers_mut() = head.headers;
         let (reply, answer) = oneshot::channel();
+        let deadline = came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0));
         let arrived = Input::Arrived(Arrived {
             id: request,
             class: form.class,
             tenant: form.tenant,
-            deadline: came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0)),
+            deadline: self.stopping.get().map_or(deadline, |stop| deadline.min(stop.answered_by)),
             work_hint: form.work_hint,
             repeat: form.repeat,
             call: Rc::new(Call { head: sent, body }),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -15,6 +15,13 @@
     }
 }
 
+impl std::ops::Add for Micros {
+    type Output = Micros;
+    fn add(self, more: Micros) -> Micros {
+        Micros(self.0.saturating_add(more.0))
+    }
+}
+
 impl std::ops::Sub for Time {
     type Output = Micros;
     /// The span since `earlier`; zero where that lies ahead.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A listener whose queue is full, so that further connections hang while they are made.
 struct Clogged {
@@ -318,6 +318,26 @@
     assert!(proxy.exit().success());
 }
 
+/// The process may be killed 0.7 s after the longest deadline, or after 3 s where that is longer: what comes after
+/// SIGTERM is answered before that, and no connection stays open on which more could come.
+#[test]
+fn what_comes_after_sigterm_is_answered_before_the_kill() {
+    let backend = Backend::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let mut proxy = Proxy::start(&config(discovery.address, &list(&[("a", backend.address, "ready")])));
+    let (mut late, mut silent) = (Client::open(proxy.address), Client::open(proxy.address));
+    let start = Instant::now();
+    proxy.terminate();
+    until("not ready", || proxy.ready() != 200);
+    late.send(&request("pay", 8000));
+    assert!(silent.ends(), "never used");
+    let silent_for = start.elapsed();
+    assert_eq!(late.answer().map(|a| a.status()), Some(502), "it may have run");
+    assert!(start.elapsed() < Duration::from_millis(3700), "{:?}", start.elapsed());
+    assert!(silent_for < Duration::from_millis(1500), "{silent_for:?}");
+    assert!(proxy.exit().success());
+}
+
 /// Told to end before it could serve, it still answers what it was sent.
 #[test]
 fn sigterm_before_the_first_list_ends_well() {
