Ask an agent for its whole list at the start, and soon after failures

A new process watched from the version of the list in its configuration; an agent that had started again and counted from anew would have waited for news beyond that (4 s). After failures the pauses grew to 1 s, while the grace for drains after the return may be 0.5 s.

To blame: the first `index` and `BACKOFF` in discovery.rs. Fix: where lists are pushed, the first call asks for the whole list, which costs the agent nothing, and pauses after failures stay at 0.2 s or below. Test: an_agent_is_asked_for_all_it_has_at_the_start_and_right_after_failures (real socket with resets, paused clock); it fails without either half (run).

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -45,7 +45,9 @@
 const PROMPT: Duration = Duration::from_millis(3500);
 /// A connection to discovery is up after this time or not at all.
 const DIAL: Duration = Duration::from_millis(750);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Pauses between calls of an agent that fail. What it has counts as told the moment it is back, so that a call has
+/// to come well within the grace after that.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
 /// The longest list that is read: some thousand lines.
 const LIST_BYTES: usize = 4 << 20;
 
@@ -144,6 +146,11 @@
     /// Watches for ever, at the address that was told last. Another address drops the call that is out, its
     /// connection, the pause after a failure and the version, which only the old service could tell.
     pub async fn run(mut self, mut addresses: watch::Receiver<SocketAddr>) {
+        if self.mode == Discovery::Push {
+            // What the agent has counts as told from the first moment. The version of the list at hand may come
+            // from an agent that has started again since, which would then wait for news that it already has.
+            self.index = None;
+        }
         loop {
             let address = *addresses.borrow_and_update();
             tokio::select! {
@@ -376,4 +383,17 @@
         let stopped = tokio::time::timeout(Duration::from_secs(3600), calls).await;
         assert!(stopped.is_err(), "it called though the module had not asked for it");
     }
+
+    /// What a pushed list's agent has counts as told from the first moment of a process, and again from the moment
+    /// at which it is back.
+    #[tokio::test(start_paused = true)]
+    async fn an_agent_is_asked_for_all_it_has_at_the_start_and_right_after_failures() {
+        let mut script: Vec<Reply> = (0..12).map(|_| Reply::Reset).collect();
+        script.push(Reply::List(3));
+        let calls = watch(Discovery::Push, Some(41), script, 14, asks_when_silent).await;
+        assert!(calls[..13].iter().all(|c| c.1 == "/api/targets"), "{calls:?}");
+        assert!(calls[13].1.starts_with("/api/targets?after=3&"), "{calls:?}");
+        let gaps = calls.windows(2).map(|pair| pair[1].0 - pair[0].0);
+        assert!(gaps.clone().all(|gap| gap <= Duration::from_millis(300)), "{:?}", gaps.max());
+    }
 }
