Ask the discovery of a new configuration at once, also while waiting after a failure

Found by review: SIGHUP moved the watch to the new address, but where lists are asked and the last call had failed, `watch` first waited for the module's wish, up to 36 s with 300 proxies. What discovery has counts as told 4 s after SIGHUP, and the failures of the old address say nothing of the new one.

To blame: `Watch::run`, which forgot the version but not that it was waiting. Fix: a new address counts as the wish to ask.

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -156,7 +156,8 @@
             tokio::select! {
                 never = self.watch(address) => match never {},
                 told = addresses.changed() => match told {
-                    Ok(()) => self.index = None,
+                    // What the new one has counts as told soon, whatever pause the old one's failures called for.
+                    Ok(()) => (self.index, self.watching) = (None, true),
                     Err(_) => return, // the program ends
                 },
             }
@@ -396,4 +397,30 @@
         let gaps = calls.windows(2).map(|pair| pair[1].0 - pair[0].0);
         assert!(gaps.clone().all(|gap| gap <= Duration::from_millis(300)), "{:?}", gaps.max());
     }
+
+    /// SIGHUP names another service while the module waits after a failure: what the new one has counts as told
+    /// seconds later, so that it is asked at once.
+    #[tokio::test(start_paused = true)]
+    async fn a_service_told_by_a_new_configuration_is_asked_at_once() {
+        let mode = Discovery::Subscribe(beechworks::Micros(10_000_000));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (inputs, _lists) = mpsc::unbounded_channel();
+        let (seen, mut came) = mpsc::unbounded_channel();
+        let random = rand_core::SeedableRng::seed_from_u64(3);
+        // Nobody asks: the module waits.
+        let watch = Watch { mode, index: Some(5), watching: false, follow: Rc::default(), inputs, random };
+        let (told, addresses) = tokio::sync::watch::channel(SocketAddr::from(([127, 0, 0, 1], 9)));
+        let local = tokio::task::LocalSet::new();
+        local.spawn_local(service(listener, vec![Reply::List(2)], seen));
+        local.spawn_local(watch.run(addresses));
+        local
+            .run_until(async {
+                tokio::task::yield_now().await;
+                told.send(address).expect("the watch runs");
+                let call = tokio::time::timeout(Duration::from_secs(1), came.recv()).await;
+                assert_eq!(call.expect("a call").expect("the service runs").1, "/api/targets");
+            })
+            .await;
+    }
 }
