Ask for the whole list when changes come from before the version held

Found by review: a discovery that starts again and counts from anew answers with changes of a lower version. They were applied and the watch went on from there; what else had changed while it was down was never told. To blame: `Watch::watch`, which took any version. Fix: such changes are taken in, and the next call asks for all. Test: changes_older_than_the_list_held_call_for_the_whole_list; it fails without the fix (run).

--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -175,7 +175,11 @@
             let wait = if pushed { PUSH_WAIT } else { self.next_wait() };
             match self.call(&mut line, address, wait).await {
                 Ok(list) => {
-                    (self.watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
+                    // Changes from before the version held come from a service that counts from anew: what else
+                    // it has to tell is only in its whole list.
+                    let older = !list.whole && self.index.is_some_and(|held| list.index < held);
+                    let index = Some(list.index).filter(|_| !older);
+                    (self.watching, backoff, self.index) = (true, BACKOFF.0, index);
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
                     if list.whole || !list.targets.is_empty() || !pushed {
                         let _ = self.inputs.send(Input::List(update, list.targets));
@@ -256,6 +260,7 @@
     /// What the scripted service does with a call.
     enum Reply {
         List(u64),
+        Changes(u64),
         Silence,
         Reset,
     }
@@ -278,9 +283,10 @@
                     continue;
                 }
                 match script.next() {
-                    Some(Reply::List(index)) => {
+                    Some(reply @ (Reply::List(index) | Reply::Changes(index))) => {
+                        let whole = matches!(reply, Reply::List(_));
                         let list = format!(
-                            "{{\n  \"index\": {index},\n  \"snapshot\": true,\n  \"endpoints\": [ ]\n}}"
+                            "{{\n  \"index\": {index},\n  \"snapshot\": {whole},\n  \"endpoints\": [ ]\n}}"
                         );
                         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
                         let stream = lines.get_mut().get_mut();
@@ -398,6 +404,18 @@
         assert!(gaps.clone().all(|gap| gap <= Duration::from_millis(300)), "{:?}", gaps.max());
     }
 
+    /// A service that has started again may count from anew.
+    #[tokio::test(start_paused = true)]
+    async fn changes_older_than_the_list_held_call_for_the_whole_list() {
+        let mode = Discovery::Subscribe(beechworks::Micros(10_000_000));
+        let script = vec![Reply::Changes(42), Reply::Changes(2), Reply::List(3)];
+        let calls = watch(mode, Some(41), script, 4, asks_when_silent).await;
+        let asked = |call: &(Instant, String)| call.1.split('&').next().map(String::from);
+        let expected =
+            ["/api/targets?after=41", "/api/targets?after=42", "/api/targets", "/api/targets?after=3"];
+        assert_eq!(calls.iter().filter_map(asked).collect::<Vec<_>>(), expected);
+    }
+
     /// SIGHUP names another service while the module waits after a failure: what the new one has counts as told
     /// seconds later, so that it is asked at once.
     #[tokio::test(start_paused = true)]
