Do not send a keyed repeat whose connection comes up after the key's window

Found by review: the module repeats a keyed request only within `window_us` of its first try, judged when it asks for the attempt.

Ruled out: the module's own bound (`may_send` keeps a tick of distance) and copies (the same rule). To blame: `Pool::attempt`, which asked again for a drain after the connect, but not for the time. Fix: the module tells until when the newest attempt may begin (`Balancer::send_by`), and the attempt ends as never sent after that.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::discovery::Target;
-use crate::upstream::{Call, Ended, Pool, Stage, Upstream};
+use crate::upstream::{Call, Ended, Pool, Stage, Times, Upstream};
 use beechworks::*;
 use bytes::Bytes;
 use hyper::Response;
@@ -494,12 +494,13 @@
                 tracing::debug!("sockets are short: closed a connection to {}", u.target.address);
             }
         }
-        let (call, deadline) = (r.call.clone(), r.deadline);
+        let times = Times { send_by: self.balancer.send_by(request), deadline: r.deadline };
+        let call = r.call.clone();
         let stage = Rc::new(Stage::default());
         let reached = stage.clone();
         let mut report = Report { to: inputs, request, attempt, told: false };
         let task = tokio::task::spawn_local(async move {
-            let ended = pool.attempt(&upstream, &call, deadline, &reached).await;
+            let ended = pool.attempt(&upstream, &call, times, &reached).await;
             report.tell(ended);
         });
         r.attempts.insert(attempt, Attempt { sent: now, stage, task: task.abort_handle() });
@@ -510,20 +511,56 @@
 mod tests {
     use super::*;
 
-    /// The module may ask for a copy in the very tick in which the answer came: that attempt is the second.
-    #[tokio::test]
-    async fn an_attempt_after_the_answer_ends_under_its_own_number() {
+    /// A driver that holds one request, as module and backends left it.
+    fn driver_with(id: RequestId) -> (Driver, oneshot::Receiver<Answer>, mpsc::UnboundedReceiver<Input>) {
         let clock = Clock::new();
-        let (inputs, _taken) = mpsc::unbounded_channel();
+        let (inputs, taken) = mpsc::unbounded_channel();
         let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), 8));
         let (follow, status) = (Rc::default(), Rc::default());
         let mut driver =
             Driver::new(clock, Config::example(), 1, 8, pool, inputs, follow, status).expect("sound");
-        let (id, (reply, mut answer)) = (RequestId(1), oneshot::channel());
+        let (reply, answer) = oneshot::channel();
         let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
         let deadline = clock.now() + Micros(1_000_000);
         let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
         driver.take(Input::Arrived(Arrived { id, class, tenant, deadline, work_hint, repeat, call, reply }));
+        (driver, answer, taken)
+    }
+
+    /// The news of a drain and the module's wish to send cross inside one tick: the wish ends as never sent, without
+    /// so much as a connection.
+    #[tokio::test]
+    async fn a_dispatch_that_crosses_a_drain_or_an_end_is_never_sent() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.set_nonblocking(true).expect("set");
+        let address = listener.local_addr().expect("its address");
+        for state in [BackendState::Draining, BackendState::Gone] {
+            let id = RequestId(1);
+            let (mut driver, _answer, _taken) = driver_with(id);
+            let mut backend = Backend { id: BackendId(7), state: BackendState::Ready, ..Backend::default() };
+            let target = |backend: &Backend| Target { backend: backend.clone(), address };
+            driver.take(Input::List(ListUpdate::Full, vec![target(&backend)]));
+            backend.state = state;
+            driver.take(Input::List(ListUpdate::Changes, vec![target(&backend)]));
+            let local = tokio::task::LocalSet::new();
+            local
+                .run_until(async {
+                    driver.dispatch(driver.clock.now(), id, BackendId(7));
+                    tokio::task::yield_now().await;
+                })
+                .await;
+            let Some(Event::AttemptEnded(end)) = driver.events.last() else { panic!("an outcome") };
+            assert_eq!((end.attempt, end.outcome, end.settled), (AttemptNo(0), Outcome::NeverSent, false));
+            assert!(listener.accept().is_err(), "dialled though {state:?}");
+        }
+    }
+
+    /// The module may ask for a copy in the very tick in which the answer came: that attempt is the second.
+    #[tokio::test]
+    async fn an_attempt_after_the_answer_ends_under_its_own_number() {
+        let id = RequestId(1);
+        let (mut driver, mut answer, _taken) = driver_with(id);
+        let clock = driver.clock;
         let sent = clock.now();
         let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
         let open = driver.requests.get_mut(&id).expect("open");
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -290,7 +290,7 @@
                     () = link.close.notified() => match link.phase.get() {
                         // A request that has come, though it has not been read, is served; but once only, for
                         // there are clients that always send a little more.
-                        Phase::Waiting(_) if !spared && socket.has_unread() => {
+                        Phase::Waiting(_) | Phase::Reading if !spared && socket.has_unread() => {
                             spared = true;
                             link.told.set(None);
                             continue;
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -38,6 +38,14 @@
     pub body: Bytes,
 }
 
+/// The times of an attempt.
+#[derive(Clone, Copy)]
+pub struct Times {
+    /// Its first byte must be out by then, where that matters.
+    pub send_by: Option<Time>,
+    pub deadline: Time,
+}
+
 /// How far an attempt has come, for whoever may end it.
 #[derive(Default)]
 pub struct Stage(RefCell<Option<Rc<Progress>>>);
@@ -229,7 +237,7 @@
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
-    pub async fn attempt(&self, upstream: &Upstream, call: &Call, deadline: Time, stage: &Stage) -> Ended {
+    pub async fn attempt(&self, upstream: &Upstream, call: &Call, times: Times, stage: &Stage) -> Ended {
         loop {
             let pooled = self.pooled(upstream).await;
             let fresh = pooled.is_none();
@@ -241,11 +249,11 @@
                 Ok(link) => link,
                 Err(outcome) => return outcome.into(),
             };
-            // The backend may have been told to drain while the connection came up.
-            if !upstream.open.get() {
+            // The backend may have been told to drain while the connection came up, or the time for it is over.
+            if !upstream.open.get() || times.send_by.is_some_and(|by| self.clock.now() >= by) {
                 return Outcome::NeverSent.into();
             }
-            let left = (deadline - self.clock.now()).0 / 1000;
+            let left = (times.deadline - self.clock.now()).0 / 1000;
             link.progress.restart();
             *stage.0.borrow_mut() = Some(link.progress.clone());
             return match link.exchange(request(call, left)).await {
@@ -386,14 +394,14 @@
         let upstream = Upstream::new(Target { backend: entry, address });
         let call = Call { head: Request::new(()), body: Bytes::new() };
         let body = |ended: Ended| ended.answer.map(Response::into_body);
-        let deadline = clock.now() + second.times(30.0);
+        let times = Times { send_by: None, deadline: clock.now() + second.times(30.0) };
         // Local tasks, as in the proxy: woken ones run on for a while before the runtime looks at its sockets.
         let attempts = async move {
             let stage = Stage::default();
-            let one = body(pool.attempt(&upstream, &call, deadline, &stage).await);
+            let one = body(pool.attempt(&upstream, &call, times, &stage).await);
             next.send(()).expect("waited for");
             surplus.recv().expect("written");
-            (one, body(pool.attempt(&upstream, &call, deadline, &stage).await))
+            (one, body(pool.attempt(&upstream, &call, times, &stage).await))
         };
         let local = tokio::task::LocalSet::new();
         let bodies = local.run_until(async { tokio::task::spawn_local(attempts).await.expect("no panic") });
--- a/src/state.rs
+++ b/src/state.rs
@@ -299,6 +299,15 @@
         Micros::from_secs(RATE_MEMORY)
     }
 
+    /// Until when the newest attempt of a request may begin to be sent: a key is known for a while only, counted
+    /// from the first attempt that may have run, and connections can take long to come up.
+    pub fn send_by(&self, request: RequestId) -> Option<Time> {
+        let r = self.requests.get(&request)?;
+        let Effect::Keyed(_, window) = self.cfg.classes[r.class].effect else { return None };
+        let (_, before) = r.sent.split_last()?;
+        before.iter().filter(|s| !s.never_ran).map(|s| s.at + window).min()
+    }
+
     /// Asks for attention at that time at the latest.
     pub(crate) fn wake_by(&mut self, at: Time) {
         self.due = self.due.min(at);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -209,6 +209,39 @@
     }
 }
 
+/// A key is known for a time only. A repeat whose connection comes up after that is not sent any more.
+#[test]
+fn a_keyed_repeat_whose_dial_outlasts_the_window_is_not_sent() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = Mutex::new(held);
+    let (first, second) = (
+        Backend::start(move |m| match m.start.starts_with("POST") {
+            true => {
+                let _ = held.lock().unwrap().recv();
+                Reply::Say("HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n".into())
+            }
+            false => ok("x"),
+        }),
+        Clogged::start(),
+    );
+    let discovery = Discovery::start();
+    let mut config = patient(&discovery, &[("a", first.address, "ready")]);
+    config["settings"]["limits"]["dial_timeout_us"] = json!(60_000_000);
+    let proxy = Proxy::start(&config);
+    (0..10).for_each(|_| assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200));
+    let mut client = Client::open(proxy.address);
+    client.send(&request("vote", 600_000));
+    until("the first try", || first.requests().len() == 11);
+    let start = Instant::now();
+    discovery.tell(false, &list(&[("b", second.address(), "ready")]));
+    drop(release);
+    until("the dial of the repeat", || second.is_dialled());
+    assert!(start.elapsed() < Duration::from_millis(1200), "the repeat began inside the window");
+    until("the end of the window", || start.elapsed() > Duration::from_millis(1250));
+    assert_eq!(second.bytes(), 0);
+    assert_eq!(client.answer().map(|a| a.status()), Some(502));
+}
+
 /// An unsafe request on a reused connection that breaks once its bytes are there may have run.
 #[test]
 fn an_idle_connection_that_breaks_under_an_unsafe_request_is_no_reason_to_send_it_again() {
