Leave few proxies the wait after a broken watch that they had

The spread of calls after a broken watch is meant for many; for up to four it had replaced the wait of 0.05 to 0.15 s by one of 0 to 0.1 s. Few proxies now wait as before; for many nothing changes.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -68,14 +68,12 @@
         let told = within.secs();
         let queued = match std::mem::take(&mut self.call) {
             // A watch that breaks has stood in no queue, and all proxies may have lost theirs together.
-            Call::Waits => {
-                let most = if cfg.proxies > FEW { spread(cfg, within) } else { SOON };
-                self.wait = 0.0;
-                self.due = Some(now + Micros::from_secs(most * unit));
+            Call::Waits if cfg.proxies > FEW => {
+                self.due = Some(now + Micros::from_secs(spread(cfg, within) * unit));
                 return;
             }
             Call::Out(since) => (now - since).secs() >= QUEUED && cfg.proxies > FEW,
-            Call::None => false,
+            Call::None | Call::Waits => false,
         };
         let refused_most = (told * REFUSED_MOST.0).max(f64::from(cfg.proxies) * REFUSED_MOST.1).max(SOON);
         // Chance adds half to a wait.
