--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -209,6 +209,24 @@
     }
 }
 
+/// Discovery is down when the proxy starts, and a backend begins to drain meanwhile: once discovery is back the proxy
+/// learns of it by itself, where lists are pushed and where they are asked for, without a single request there.
+#[test]
+fn what_changed_while_discovery_was_down_is_learnt_at_its_return() {
+    for mode in ["automatic", "subscribe"] {
+        let (a, b) = (Backend::start(|_| ok("a")), Backend::start(|_| ok("b")));
+        let address = free_address();
+        let mut config = config(address, &list(&[("a", a.address, "ready")]));
+        config["settings"]["discovery"] = json!(mode);
+        let proxy = Proxy::start(&config);
+        until("a call that failed", || proxy.log().contains("discovery: "));
+        let discovery = Discovery::start_at(address);
+        discovery.tell(true, &list(&[("a", a.address, "draining"), ("b", b.address, "ready")]));
+        assert_eq!(ask(&proxy, &request("read", 7000)).body, b"b", "{mode}");
+        assert!(a.requests().is_empty());
+    }
+}
+
 /// A key is known for a time only. A repeat whose connection comes up after that is not sent any more.
 #[test]
 fn a_keyed_repeat_whose_dial_outlasts_the_window_is_not_sent() {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -156,7 +156,11 @@
 
 impl Discovery {
     pub fn start() -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Discovery::start_at("127.0.0.1:0".parse().unwrap())
+    }
+
+    pub fn start_at(address: SocketAddr) -> Discovery {
+        let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let discovery =
             Discovery { address, news: Arc::default(), calls: Arc::default(), closed: Arc::default() };
