--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -1,6 +1,7 @@
 //! The HTTP proxy: start-up, signals and exit codes. Every decision is the library's.
 #![forbid(unsafe_code)]
 
+mod client;
 mod clock;
 mod config;
 mod discovery;
@@ -96,7 +97,7 @@
         inputs: sender.clone(),
         status: status.clone(),
         next: Cell::new(0),
-        stopping: Cell::new(false),
+        stopping: Cell::default(),
         links: RefCell::default(),
         ids: RefCell::default(),
         freed: Notify::new(),
