--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -45,7 +45,9 @@
 const PROMPT: Duration = Duration::from_millis(3500);
 /// A connection to discovery is up after this time or not at all.
 const DIAL: Duration = Duration::from_millis(750);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Pauses between calls of an agent that fail. What it has counts as told the moment it is back, so that a call has
+/// to come well within the grace after that.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
 /// The longest list that is read: some thousand lines.
 const LIST_BYTES: usize = 4 << 20;
 
@@ -144,12 +146,18 @@
     /// Watches for ever, at the address that was told last. Another address drops the call that is out, its
     /// connection, the pause after a failure and the version, which only the old service could tell.
     pub async fn run(mut self, mut addresses: watch::Receiver<SocketAddr>) {
+        if self.mode == Discovery::Push {
+            // What the agent has counts as told from the first moment. The version of the list at hand may come
+            // from an agent that has started again since, which would then wait for news that it already has.
+            self.index = None;
+        }
         loop {
             let address = *addresses.borrow_and_update();
             tokio::select! {
                 never = self.watch(address) => match never {},
                 told = addresses.changed() => match told {
-                    Ok(()) => self.index = None,
+                    // What the new one has counts as told soon, whatever pause the old one's failures called for.
+                    Ok(()) => (self.index, self.watching) = (None, true),
                     Err(_) => return, // the program ends
                 },
             }
@@ -167,7 +175,11 @@
             let wait = if pushed { PUSH_WAIT } else { self.next_wait() };
             match self.call(&mut line, address, wait).await {
                 Ok(list) => {
-                    (self.watching, backoff, self.index) = (true, BACKOFF.0, Some(list.index));
+                    // Changes from before the version held come from a service that counts from anew: what else
+                    // it has to tell is only in its whole list.
+                    let older = !list.whole && self.index.is_some_and(|held| list.index < held);
+                    let index = Some(list.index).filter(|_| !older);
+                    (self.watching, backoff, self.index) = (true, BACKOFF.0, index);
                     let update = if list.whole { ListUpdate::Full } else { ListUpdate::Changes };
                     if list.whole || !list.targets.is_empty() || !pushed {
                         let _ = self.inputs.send(Input::List(update, list.targets));
@@ -248,6 +260,7 @@
     /// What the scripted service does with a call.
     enum Reply {
         List(u64),
+        Changes(u64),
         Silence,
         Reset,
     }
@@ -270,9 +283,10 @@
                     continue;
                 }
                 match script.next() {
-                    Some(Reply::List(index)) => {
+                    Some(reply @ (Reply::List(index) | Reply::Changes(index))) => {
+                        let whole = matches!(reply, Reply::List(_));
                         let list = format!(
-                            "{{\n  \"index\": {index},\n  \"snapshot\": true,\n  \"endpoints\": [ ]\n}}"
+                            "{{\n  \"index\": {index},\n  \"snapshot\": {whole},\n  \"endpoints\": [ ]\n}}"
                         );
                         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
                         let stream = lines.get_mut().get_mut();
@@ -376,4 +390,55 @@
         let stopped = tokio::time::timeout(Duration::from_secs(3600), calls).await;
         assert!(stopped.is_err(), "it called though the module had not asked for it");
     }
+
+    /// What a pushed list's agent has counts as told from the first moment of a process, and again from the moment
+    /// at which it is back.
+    #[tokio::test(start_paused = true)]
+    async fn an_agent_is_asked_for_all_it_has_at_the_start_and_right_after_failures() {
+        let mut script: Vec<Reply> = (0..12).map(|_| Reply::Reset).collect();
+        script.push(Reply::List(3));
+        let calls = watch(Discovery::Push, Some(41), script, 14, asks_when_silent).await;
+        assert!(calls[..13].iter().all(|c| c.1 == "/api/targets"), "{calls:?}");
+        assert!(calls[13].1.starts_with("/api/targets?after=3&"), "{calls:?}");
+        let gaps = calls.windows(2).map(|pair| pair[1].0 - pair[0].0);
+        assert!(gaps.clone().all(|gap| gap <= Duration::from_millis(300)), "{:?}", gaps.max());
+    }
+
+    /// A service that has started again may count from anew.
+    #[tokio::test(start_paused = true)]
+    async fn changes_older_than_the_list_held_call_for_the_whole_list() {
+        let mode = Discovery::Subscribe(beechworks::Micros(10_000_000));
+        let script = vec![Reply::Changes(42), Reply::Changes(2), Reply::List(3)];
+        let calls = watch(mode, Some(41), script, 4, asks_when_silent).await;
+        let asked = |call: &(Instant, String)| call.1.split('&').next().map(String::from);
+        let expected =
+            ["/api/targets?after=41", "/api/targets?after=42", "/api/targets", "/api/targets?after=3"];
+        assert_eq!(calls.iter().filter_map(asked).collect::<Vec<_>>(), expected);
+    }
+
+    /// SIGHUP names another service while the module waits after a failure: what the new one has counts as told
+    /// seconds later, so that it is asked at once.
+    #[tokio::test(start_paused = true)]
+    async fn a_service_told_by_a_new_configuration_is_asked_at_once() {
+        let mode = Discovery::Subscribe(beechworks::Micros(10_000_000));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let (inputs, _lists) = mpsc::unbounded_channel();
+        let (seen, mut came) = mpsc::unbounded_channel();
+        let random = rand_core::SeedableRng::seed_from_u64(3);
+        // Nobody asks: the module waits.
+        let watch = Watch { mode, index: Some(5), watching: false, follow: Rc::default(), inputs, random };
+        let (told, addresses) = tokio::sync::watch::channel(SocketAddr::from(([127, 0, 0, 1], 9)));
+        let local = tokio::task::LocalSet::new();
+        local.spawn_local(service(listener, vec![Reply::List(2)], seen));
+        local.spawn_local(watch.run(addresses));
+        local
+            .run_until(async {
+                tokio::task::yield_now().await;
+                told.send(address).expect("the watch runs");
+                let call = tokio::time::timeout(Duration::from_secs(1), came.recv()).await;
+                assert_eq!(call.expect("a call").expect("the service runs").1, "/api/targets");
+            })
+            .await;
+    }
 }
