--- a/src/keeping.rs
+++ b/src/idle_limit.rs
@@ -15,17 +15,17 @@
 
 /// The bound on idle connections.
 #[derive(Default)]
-pub(crate) struct Keeping {
+pub(crate) struct IdleLimit {
     /// `None`: no backend has run short of connections.
     most: Option<f64>,
     /// When it was last cut, and when it last grew.
     cut: Time,
     grown: Time,
     /// The bound that the host has.
-    told: Option<u32>,
+    announced: Option<u32>,
 }
 
-impl Keeping {
+impl IdleLimit {
     /// A backend has turned a new connection away for want of room while so many idle ones were held.
     pub fn crowded(&mut self, now: Time, idle: u32) {
         if self.most.is_none() || now - self.cut >= PAUSE {
@@ -44,8 +44,8 @@
     /// The bound, if the host does not have it yet.
     pub fn news(&mut self) -> Option<u32> {
         let most = self.most.map(|most| most as u32);
-        let news = most != self.told;
-        self.told = most;
+        let news = most != self.announced;
+        self.announced = most;
         news.then_some(most.unwrap_or(u32::MAX))
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,15 +5,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod asking;
+mod cold;
+mod idle_limit;
 mod interface;
-mod keeping;
 mod logic;
 pub mod settings;
+mod shares;
 mod state;
+mod subscription;
 
 pub use interface::*;
-pub use logic::halb_shares;
+pub use shares::halb_shares;
 pub use state::Balancer;
 
 /// The README's example, kept true by the documentation tests.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,12 +1,11 @@
 //! Every decision of the proxy. Its whole interface (events, actions, settings) is `src/interface.rs`;
 //! what it remembers of backends, kinds, classes and requests is laid out in `src/state.rs`.
 //!
-//! Ordinary path: `solve` turns the arrival rate and the learned speeds into a share per kind (HALB),
-//! `draw` picks a kind by share and a backend inside it at random. All else is a departure for trouble.
+//! Ordinary path: `src/shares.rs` turns the arrival rate and the learned speeds into a share per kind (HALB),
+//! `pick_backend` picks a kind by share and a backend inside it at random. All else departs for trouble.
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeMap;
 
 /// Memory of a kind's speed, s: a machine's speed changes seldom, the rate it is computed from all the time.
 pub(crate) const SPEED_MEMORY: f64 = 10.0;
@@ -14,15 +13,13 @@
 pub(crate) const LATENCY_CLIP: f64 = 3.0;
 /// Samples in a kind's or class's mean: its error is then about a tenth of the spread.
 pub(crate) const KIND_SAMPLES: f64 = 100.0;
-/// The proxies' parts of a backend's hold change hands this often, s: long beside any request.
-const TURN: f64 = 5.0;
 /// Draws by share before all backends are looked through: when so many are taken, most are.
-const DRAWS: usize = 8;
+const PICK_TRIES: usize = 8;
 /// Held requests are looked at every so many ticks.
-const HELD_TICKS: f64 = 4.0;
+const QUEUE_TICKS: f64 = 4.0;
 /// Requests that all proxies together hold on one backend: a shared processor at four fifths of its
 /// capacity holds four on average; more only makes every one of them later.
-pub(crate) const HOLD: f64 = 4.0;
+pub(crate) const CONCURRENCY: f64 = 4.0;
 /// Error share from which a backend is ejected: two errors close together reach it.
 const ERROR_LIMIT: f64 = 0.3;
 /// The same where the newest was turned away unseen: one that takes some of them is used for those.
@@ -31,7 +28,7 @@
 const ERROR_STEP: f64 = 0.2;
 /// Age at which an outcome says nothing more of how a backend is now, s: troubles come and go within that.
 /// The rarer this proxy hears of a backend, the more its newest outcome weighs.
-const ERROR_MEMORY: f64 = 8.0;
+pub(crate) const ERROR_MEMORY: f64 = 8.0;
 /// Greatest weight of the newest outcome: one refusal alone stays under [`FULL_LIMIT`].
 const ERROR_STEP_MOST: f64 = 0.6;
 /// An unanswered attempt this many times older than usual, with no later answer, marks silence.
@@ -46,22 +43,6 @@
 /// The same in visits: each return costs the request that tries it, so that a backend which this proxy sees
 /// seldom must stay out for longer than until its next visit.
 const EJECT_VISITS: f64 = 1.5;
-/// Ejected backends beyond half of the fleet are used after all: then it is not they who are ill.
-const PANIC: f64 = 0.5;
-/// The pool's allowance for chance, in spreads of a random count with the pool's mean.
-const POOL_SPREAD: f64 = 1.5;
-/// What a proxy may hold for longer than a moment, in parts of its own part of the hold. Chance lets one
-/// proxy hold more at times; when all do so at once they crowd every backend until it slows down for long.
-const SUSTAINED: f64 = 1.5;
-/// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
-const FALL_MARGIN: f64 = 0.8;
-/// Part of the longest ramp that a backend likely needs to warm: that one is the bound over all kinds.
-const LIKELY_RAMP: f64 = 0.7;
-/// Least budget of one proxy in a window: where its part is below one request the random draw by readiness
-/// keeps the sum of all proxies near a cold backend's capacity; less would throw its share at warm ones.
-const FALL_FLOOR: f64 = 3.0;
-/// Spreads of a random count that the whole traffic to a cold backend stays under the limit.
-const FALL_SPREADS: f64 = 3.0;
 /// Extra attempts for each request: the usual tenth, doubled for the time until a failure is seen.
 const RETRY_RATIO: f64 = 0.2;
 /// Least worth of a client's repeat beside a first try: some still come in time.
@@ -84,55 +65,23 @@
 /// A request worth less than this part of a first try within quota finds half of the room: the rest is kept.
 const LOW: f64 = 0.5;
 
-/// HALB: the clamped M/G/1/PS optimum. For kinds of (ready count, speed of one backend) and the arrival
-/// rate, the part of the traffic for each kind; all zero when nothing is ready.
-pub fn halb_shares(kinds: &[(f64, f64)], rate: Option<f64>) -> Vec<f64> {
-    let split = |on: &dyn Fn(&(f64, f64)) -> bool| -> Vec<f64> {
-        let total: f64 = kinds.iter().filter(|k| on(k)).map(|k| k.0).sum();
-        kinds.iter().map(|k| if on(k) && total > 0.0 { k.0 / total } else { 0.0 }).collect()
-    };
-    let Some(rate) = rate else { return split(&|_| true) }; // no rate yet: by ready counts
-    let mut live = kinds.to_vec();
-    loop {
-        let (roots, speeds) = live.iter().fold((0.0, 0.0), |s, k| (s.0 + k.0 * k.1.sqrt(), s.1 + k.0 * k.1));
-        if rate <= speeds * 1e-6 || speeds <= 0.0 {
-            let best = live.iter().filter(|k| k.0 > 0.0).map(|k| k.1).fold(0.0, f64::max);
-            return split(&|k| k.1 == best); // the limit: the fastest kind takes all
-        }
-        let flow = |k: &(f64, f64)| k.0 * k.1 - k.0 * k.1.sqrt() * (speeds - rate) / roots;
-        let flows: Vec<f64> = live.iter().map(flow).collect();
-        if flows.iter().all(|f| *f >= 0.0) {
-            return flows.iter().map(|f| f / rate).collect();
-        }
-        live.iter_mut().zip(&flows).filter(|(_, f)| **f <= 0.0).for_each(|(k, _)| k.0 = 0.0);
-    }
-}
-
-/// Where list weights are live, the part of its kind's even slice that a crowded backend keeps: all of it up
-/// to half the hold, then little, so that silent, choked or slowed ones drain. Lighter ones gain nothing:
-/// all proxies see the same late weights and would chase the lightest together.
-fn uncrowded(cfg: &Config, entry: &Backend, idle: f64) -> f64 {
-    let part = if cfg.live_weights { entry.weight / idle.max(1e-9) * (1.0 + HOLD / 2.0) } else { 1.0 };
-    part.clamp(0.0, 1.0).powi(2)
-}
-
 impl Balancer {
     /// Takes one event that happened at `now` and adds the actions it calls for.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
-        self.hold_mean.pass(now, self.in_use());
+        self.in_flight_mean.pass(now, self.in_use());
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
             Event::Request(arrival) => self.request(now, arrival),
             Event::StreamStarted { request, attempt } => {
                 if let Some(r) = self.requests.get_mut(&request) {
-                    r.streaming |= r.sent.get(attempt.0 as usize).is_some_and(|s| s.out);
+                    r.streaming |= r.sent.get(attempt.0 as usize).is_some_and(|s| s.in_flight);
                 }
             }
             Event::AttemptEnded(end) => self.ended(now, end),
-            Event::Crowded { idle } => self.keeping.crowded(now, idle),
+            Event::Crowded { idle } => self.idle_limit.crowded(now, idle),
             Event::ClientGone { request } => self.close(request, None),
             Event::Timer { token } if token != TimerToken(self.timer.0) => return,
             Event::Timer { .. } => self.timer.1 = None,
@@ -145,7 +94,7 @@
             self.look_after(now);
         }
         self.pump(now);
-        self.actions.extend(self.keeping.news().map(|idle| Action::Keep { idle }));
+        self.actions.extend(self.idle_limit.news().map(|idle| Action::Keep { idle }));
         if self.timer.1.is_none_or(|pending| self.due < pending) && self.due < Time(u64::MAX) {
             self.timer = (self.timer.0 + 1, Some(self.due));
             let (token, after) = (TimerToken(self.timer.0), (self.due - now).max(self.cfg.tick));
@@ -157,20 +106,20 @@
     fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
         match update {
             ListUpdate::Lost => {
-                self.asking.lost(now, &self.cfg, self.dice.unit());
+                self.subscription.lost(now, &self.cfg, self.rng.unit());
                 self.log(now, "discovery lost, asking again".into());
             }
             ListUpdate::Silent => {
-                self.asking.silent(now, &self.cfg);
+                self.subscription.silent(now, &self.cfg);
                 self.log(now, "discovery silent, asking anew".into());
             }
-            ListUpdate::Changes | ListUpdate::Full => self.asking.answered(),
+            ListUpdate::Changes | ListUpdate::Full => self.subscription.answered(),
             ListUpdate::Cached if list.is_empty() => {}
-            ListUpdate::Cached => self.asking.have_old_list(now, &self.cfg, || self.dice.unit()),
+            ListUpdate::Cached => self.subscription.have_old_list(now, &self.cfg, || self.rng.unit()),
         }
-        self.wake_by(self.asking.due.unwrap_or(self.due));
+        self.wake_by(self.subscription.due.unwrap_or(self.due));
         if self.take_list(update, list) {
-            self.peers.retain(|_, p| p.entry.state != BackendState::Gone || p.out > 0);
+            self.backends.retain(|_, p| p.entry.state != BackendState::Gone || p.in_flight > 0);
             self.solve(now);
         }
     }
@@ -200,12 +149,12 @@
         let admitted = self.admitted(class, value);
         self.rate.add(now, f64::from(admitted));
         // Where cold backends are held to less than their parts, the rest of the traffic has no place.
-        let pull: f64 = self.kinds.values().map(|k| k.pull).sum();
-        if !admitted || (pull > 0.0 && self.dice.unit() > pull) {
+        let local_share: f64 = self.kinds.values().map(|k| k.local_share).sum();
+        if !admitted || (local_share > 0.0 && self.rng.unit() > local_share) {
             return self.give_up(new.request);
         }
-        self.held.push(new.request);
-        self.wake_by(now + self.cfg.tick.times(HELD_TICKS).min(new.time_left));
+        self.queue.push(new.request);
+        self.wake_by(now + self.cfg.tick.times(QUEUE_TICKS).min(new.time_left));
     }
 
     /// Load shedding: what is admitted covers the densest worth first; the layer at the edge is thinned.
@@ -223,7 +172,7 @@
             let denser: f64 = (0..density.len()).filter(over).map(share).sum();
             (denser / all * (1.0 - self.low), share(class) / all * (1.0 - self.low))
         };
-        self.dice.unit() * own < self.admit - above
+        self.rng.unit() * own < self.admit - above
     }
 
     /// Until when an attempt's answer is brisk.
@@ -234,14 +183,14 @@
     /// The time of an unloaded answer and that part of what is then left to the aim.
     fn on_the_way(&self, backend: BackendId, class: usize, part: f64) -> Micros {
         let aim = self.cfg.classes[class].aim.secs();
-        let kind = self.peers.get(&backend).and_then(|p| self.kinds.get(&p.entry.kind));
+        let kind = self.backends.get(&backend).and_then(|p| self.kinds.get(&p.entry.kind));
         let unloaded = kind.and_then(|k| k.unloaded).map_or(0.0, |t| t * self.work(class));
         Micros::from_secs(unloaded + (aim - unloaded).max(0.0) * part)
     }
 
     /// Many proxies cannot bound what a backend holds; each learns from its answers that all hold too much.
-    fn gauge(&mut self, brisk: bool) {
-        if f64::from(self.cfg.proxies) <= HOLD {
+    fn adjust_admission(&mut self, brisk: bool) {
+        if f64::from(self.cfg.proxies) <= CONCURRENCY {
             return; // the rooms of so few proxies bound it well enough
         }
         let step = ADMIT_STEP * (ADMIT_RATE / self.rate.per_s().unwrap_or(1.0)).min(1.0);
@@ -253,7 +202,7 @@
     fn ended(&mut self, now: Time, mut end: AttemptEnd) {
         let id = end.request;
         let Some((backend, class, sent, late)) = self.attempts.remove(&(id, end.attempt)) else { return };
-        self.out -= 1;
+        self.in_flight -= 1;
         if end.outcome == Outcome::Cancelled && end.latency > self.cfg.classes[class].aim {
             // Called off when its client left after all that time: as much against the backend as a time-out.
             end.outcome = Outcome::TimedOut;
@@ -261,18 +210,18 @@
         // What is turned away has mostly met a backend that drains or lacks connections, not a full fleet.
         let judged = matches!(end.outcome, Outcome::Ok | Outcome::TimedOut);
         if judged && !late {
-            self.gauge(end.outcome == Outcome::Ok && end.latency < self.brisk(backend, class));
+            self.adjust_admission(end.outcome == Outcome::Ok && end.latency < self.brisk(backend, class));
         }
         self.learn(now, backend, class, sent, &end);
         let Some(r) = self.requests.get_mut(&id) else { return };
         if let Some(s) = r.sent.get_mut(end.attempt.0 as usize) {
-            (s.out, s.never_ran) = (false, end.outcome.never_ran());
+            (s.in_flight, s.never_ran) = (false, end.outcome.never_ran());
         }
         if end.settled || end.outcome == Outcome::Ok {
             let in_time = end.outcome == Outcome::Ok && now <= r.aim;
             self.close(id, Some(in_time));
-        } else if !r.out() && !self.held.contains(&id) {
-            self.held.push(id); // `pump` sends it again or gives it up
+        } else if !r.in_flight() && !self.queue.contains(&id) {
+            self.queue.push(id); // `pump` sends it again or gives it up
         }
     }
 
@@ -280,8 +229,8 @@
     fn learn(&mut self, now: Time, id: BackendId, class: usize, sent: Time, end: &AttemptEnd) {
         let slow = end.outcome == Outcome::Ok && self.is_slow(id, class, end.latency);
         let step = (self.gap / ERROR_MEMORY).clamp(ERROR_STEP, ERROR_STEP_MOST);
-        let Some(p) = self.peers.get_mut(&id) else { return };
-        p.out = p.out.saturating_sub(1);
+        let Some(p) = self.backends.get_mut(&id) else { return };
+        p.in_flight = p.in_flight.saturating_sub(1);
         let kind = p.entry.kind;
         match end.outcome {
             Outcome::Ok => {
@@ -310,7 +259,7 @@
 
     /// Has a backend drawn less until it answers in time.
     fn doubt(&mut self, id: BackendId) {
-        if let Some(p) = self.peers.get_mut(&id) {
+        if let Some(p) = self.backends.get_mut(&id) {
             p.errors = p.errors.max(DOUBT);
         }
     }
@@ -321,8 +270,8 @@
     }
 
     fn eject(&mut self, now: Time, id: BackendId, why: Outcome) {
-        let term = EJECT_TERM.max(self.gap * EJECT_VISITS) * (0.75 + 0.5 * self.dice.unit());
-        let Some(p) = self.peers.get_mut(&id) else { return };
+        let term = EJECT_TERM.max(self.gap * EJECT_VISITS) * (0.75 + 0.5 * self.rng.unit());
+        let Some(p) = self.backends.get_mut(&id) else { return };
         if p.ejected.is_none_or(|until| now >= until) {
             p.ejected = Some(now + Micros::from_secs(term * f64::from(p.strikes.min(2)).exp2()));
             (p.strikes, p.ready) = (p.strikes + 1, 0.0);
@@ -333,30 +282,31 @@
 
     /// Every tick: what time alone brings about.
     fn look_after(&mut self, now: Time) {
-        if self.asking.is_due(now, &self.cfg) {
+        if self.subscription.is_due(now, &self.cfg) {
             self.actions.push(Action::Follow);
         }
-        self.wake_by(self.asking.due.unwrap_or(self.due));
+        self.wake_by(self.subscription.due.unwrap_or(self.due));
         self.suspect(now);
         let mut over = Vec::new();
         for (&id, r) in self.requests.iter().filter(|(_, r)| !r.streaming) {
             let usual = self.usual(r.class);
             let late_pays = self.cfg.classes[r.class].late_worth > 0.0 && !r.sent.is_empty();
             let last_start = if late_pays { r.deadline } else { r.aim };
-            let lost =
-                |s: &Sent| s.out && self.peers.get(&s.to.id).is_none_or(|p| p.silent || p.ejected.is_some());
+            let lost = |s: &Sent| {
+                s.in_flight && self.backends.get(&s.to.id).is_none_or(|p| p.silent || p.ejected.is_some())
+            };
             let lost = matches!(&r.sent[..], [only] if lost(only));
-            let held = if r.out() { r.deadline } else { now + self.cfg.tick.times(HELD_TICKS) };
+            let held = if r.in_flight() { r.deadline } else { now + self.cfg.tick.times(QUEUE_TICKS) };
             self.due = self.due.min(held).min(Time(r.deadline.0.saturating_sub(self.cfg.tick.0)));
-            if now + self.cfg.tick >= r.deadline || (!r.out() && now + usual >= last_start) {
+            if now + self.cfg.tick >= r.deadline || (!r.in_flight() && now + usual >= last_start) {
                 // The deadline's own tick would be too late to answer; a request that was held so long
                 // that it cannot make it is refused while that is still harmless.
                 over.push(id);
             } else if lost && now + usual < r.aim && self.extra >= 1.0 {
                 // Age alone is no reason: copies of merely heavy requests crowd every backend.
                 if self.cfg.second_copies {
-                    if self.may_send(now, r) && !self.held.contains(&id) {
-                        self.held.push(id);
+                    if self.may_send(now, r) && !self.queue.contains(&id) {
+                        self.queue.push(id);
                     }
                 } else if self.cfg.cancel && self.cfg.classes[r.class].effect != Effect::Unsafe {
                     // Where no copy may run beside it, the first is called back to make way for the next.
@@ -370,7 +320,7 @@
     /// Marks the backends that owe an answer for suspiciously long.
     fn suspect(&mut self, now: Time) {
         for id in std::mem::take(&mut self.silent) {
-            self.peers.get_mut(&id).into_iter().for_each(|p| p.silent = false);
+            self.backends.get_mut(&id).into_iter().for_each(|p| p.silent = false);
         }
         let mut attempts = std::mem::take(&mut self.attempts);
         for (backend, class, sent, late) in attempts.values_mut() {
@@ -381,7 +331,7 @@
             let limit = *sent + self.brisk(*backend, *class);
             if !*late && now >= limit {
                 *late = true;
-                self.gauge(false);
+                self.adjust_admission(false);
             }
             let usual = self.usual(*class);
             let from = *sent + usual.times(SILENT_AFTER);
@@ -389,7 +339,7 @@
             self.wake_by(if *late { next } else { next.min(limit) });
             let slow = *sent + self.on_the_way(*backend, *class, SLOW);
             self.wake_by(if self.gap > 0.0 && now < slow { slow } else { next });
-            let peer = self.peers.get_mut(backend).filter(|p| now >= from && p.answered <= *sent);
+            let peer = self.backends.get_mut(backend).filter(|p| now >= from && p.answered <= *sent);
             if let Some(p) = peer {
                 p.silent = true;
                 self.silent.push(*backend);
@@ -398,154 +348,59 @@
         self.attempts = attempts;
     }
 
-    /// Readiness of every backend, speed and share of every kind.
-    fn solve(&mut self, now: Time) {
-        let passed = (now - self.solved).secs();
-        self.solved = now;
-        self.blocked = 0.0;
-        let listed = self.peers.values().filter(|p| p.entry.state == BackendState::Ready);
-        let (all, out) = listed.fold((0.0, 0.0), |n, p| (n.0 + 1.0, n.1 + f64::from(p.ejected.is_some())));
-        self.kinds.values_mut().for_each(|k| k.ready = 0.0);
-        for p in self.peers.values_mut() {
-            if p.ejected.is_some_and(|until| now >= until) {
-                // It comes back as it is: the next failure ejects it for longer.
-                (p.ejected, p.errors) = (None, 0.0);
-            }
-            let k = self.kinds.entry(p.entry.kind).or_default();
-            k.idle_weight = k.idle_weight.max(p.entry.weight);
-            let health = match p.ejected {
-                _ if p.entry.state != BackendState::Ready => 0.0,
-                Some(_) => f64::from(out > all * PANIC),
-                None => 1.0 - p.errors,
-            };
-            p.ready = health
-                * warmth(&self.cfg, now, &p.entry, LIKELY_RAMP)
-                * uncrowded(&self.cfg, &p.entry, k.idle_weight);
-            k.ready += p.ready;
-        }
-        self.keeping.pass(now, all as usize);
-        self.rate.add(now, 0.0);
-        // So few proxies see each backend many times a second, but before their traffic comes.
-        let few = f64::from(self.cfg.proxies) <= HOLD;
-        let visits = self.rate.per_s().filter(|_| !few);
-        self.gap = visits.map_or(0.0, |own| all / own.max(1e-9)).min(ERROR_MEMORY);
-        let rate = self.rate.per_s().map(|r| r * f64::from(self.cfg.proxies));
-        self.estimate_speeds(passed, rate);
-        let table: Vec<(f64, f64)> = self.kinds.values().map(|k| (k.ready, k.speed)).collect();
-        let shares = halb_shares(&table, rate.filter(|_| self.overall.count > 0.0));
-        self.kinds.values_mut().zip(shares).for_each(|(k, share)| k.share = share);
-        self.allot(now);
-    }
-
-    /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
-    /// and all have as many proxies, traffic stays near so far as all together still give every backend
-    /// the same part: a zone that brings more than its backends are due sends the rest to zones due more.
-    fn allot(&mut self, now: Time) {
-        let epoch = now.0 / Micros::from_secs(TURN).0;
-        let proxies = f64::from(self.cfg.proxies);
-        let part = |kinds: &BTreeMap<KindId, Kind>, p: &Peer| {
-            kinds.get(&p.entry.kind).map_or(0.0, |k| k.share * p.ready / k.ready.max(1e-9))
-        };
-        let mut due: BTreeMap<ZoneId, f64> = BTreeMap::new();
-        let ready = self.peers.values().filter(|p| p.ready > 0.0);
-        ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
-        let zones = f64::from(self.cfg.zones);
-        let biased = self.cfg.cross_zone_cost > 0.0 && self.cfg.proxies % self.cfg.zones == 0;
-        let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
-        let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
-        let mine = HOLD / proxies * self.kinds.values().map(|k| k.ready).sum::<f64>();
-        self.pool = mine + POOL_SPREAD * mine.sqrt() + 1.0;
-        self.sustained = if proxies > HOLD { mine * SUSTAINED } else { f64::INFINITY };
-        self.kinds.values_mut().for_each(|k| (k.pull, k.line) = (0.0, Vec::with_capacity(k.line.len())));
-        let cold: Vec<f64> = self.peers.values().map(|p| self.fall_part(now, p)).collect();
-        for ((&id, p), most) in self.peers.iter_mut().zip(cold) {
-            let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
-            let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
-            let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
-            let bias = if biased && here > 0.0 { near / here } else { 1.0 };
-            // Half of the room for all goes by that part, half evenly. With many proxies it is below one:
-            // turns, by position and the backend's mark, keep the sum at the hold; one each would crowd all.
-            let turn = id.0.wrapping_add(u64::from(self.cfg.position)).wrapping_add(epoch);
-            let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
-            let fair = HOLD / proxies * p.ready;
-            p.room = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
-            // The trace takes the overflow where all that have a part are full.
-            p.pull = (part(&self.kinds, p) * bias + p.ready * 1e-6).min(most);
-            if p.ready > 0.0 {
-                let k = self.kinds.entry(p.entry.kind).or_default();
-                k.pull += p.pull;
-                k.line.push((id, k.pull));
-            }
-        }
-    }
-
-    /// The greatest part of the traffic whose random count stays some spreads under the fall limit.
-    fn fall_part(&self, now: Time, p: &Peer) -> f64 {
-        let root =
-            ((FALL_SPREADS * FALL_SPREADS + 4.0 * self.fall_limit(now, p)).sqrt() - FALL_SPREADS) / 2.0;
-        let rate = self.rate.per_s().unwrap_or(0.0) * f64::from(self.cfg.proxies);
-        root * root / (rate * self.cfg.fall_window.secs()).max(1e-9)
-    }
-
-    /// Work that this proxy may still send to a cold backend inside the present fall window.
-    fn budget(&self, now: Time, p: &Peer) -> f64 {
-        let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        (self.fall_limit(now, p) / f64::from(self.cfg.proxies) * FALL_MARGIN).max(FALL_FLOOR) - spent
-    }
-
     fn may_send(&self, now: Time, r: &Request) -> bool {
         let safe = |s: &Sent| match self.cfg.classes[r.class].effect {
             Effect::Free => true,
             Effect::Keyed(_, window) => s.never_ran || now + self.cfg.tick < s.at + window,
             Effect::Unsafe => s.never_ran,
         };
-        let alone = self.cfg.second_copies || !r.out();
+        let alone = self.cfg.second_copies || !r.in_flight();
         alone && r.sent.len() < self.cfg.max_attempts as usize && r.sent.iter().all(safe)
     }
 
     /// Attempts that take room on backends in use. Among many proxies those on backends that are out of use
     /// or silent do not count: one that waits there for its deadline would keep ten others from the rest.
     fn in_use(&self) -> f64 {
-        if f64::from(self.cfg.proxies) <= HOLD {
-            return self.out as f64;
+        if f64::from(self.cfg.proxies) <= CONCURRENCY {
+            return self.in_flight as f64;
         }
-        let used = |id: &BackendId| self.peers.get(id).is_some_and(|p| p.ready > 0.0 && !p.silent);
+        let used = |id: &BackendId| self.backends.get(id).is_some_and(|p| p.ready > 0.0 && !p.silent);
         self.attempts.values().filter(|a| used(&a.0)).count() as f64
     }
 
     /// A backend for the request: kind by share, backend inside it by readiness, both at random.
-    fn draw(&mut self, now: Time, r: &Request) -> Option<BackendId> {
-        let pool = if r.value < LOW { self.pool / 2.0 } else { self.pool };
+    fn pick_backend(&mut self, now: Time, r: &Request) -> Option<BackendId> {
+        let pool = if r.value < LOW { self.in_flight_limit / 2.0 } else { self.in_flight_limit };
         let out = self.in_use();
-        if out >= pool || (self.hold_mean.value > self.sustained && out >= self.sustained) {
+        if out >= pool || (self.in_flight_mean.value > self.sustained && out >= self.sustained) {
             return None;
         }
         if r.sent.is_empty() {
-            let kinds: Vec<(KindId, f64)> = self.kinds.iter().map(|(k, s)| (*k, s.pull)).collect();
-            for _ in 0..DRAWS {
-                let kind = self.dice.pick(&kinds)?;
-                let part = self.dice.unit();
+            let kinds: Vec<(KindId, f64)> = self.kinds.iter().map(|(k, s)| (*k, s.local_share)).collect();
+            for _ in 0..PICK_TRIES {
+                let kind = self.rng.pick(&kinds)?;
+                let part = self.rng.unit();
                 let drawn = self.kinds.get(&kind).and_then(|k| k.pick(part));
                 if let Some(backend) = drawn.filter(|b| self.open_to(now, *b, r)) {
                     return Some(backend);
                 }
             }
         }
-        let open = self.peers.iter().filter(|(b, _)| self.open_to(now, **b, r));
-        let open: Vec<(BackendId, f64)> = open.map(|(b, p)| (*b, p.pull)).collect();
-        self.dice.pick(&open)
+        let open = self.backends.iter().filter(|(b, _)| self.open_to(now, **b, r));
+        let open: Vec<(BackendId, f64)> = open.map(|(b, p)| (*b, p.local_share)).collect();
+        self.rng.pick(&open)
     }
 
     /// Whether the backend may be sent this request and has room for it.
     fn open_to(&self, now: Time, id: BackendId, r: &Request) -> bool {
-        let Some(p) = self.peers.get(&id).filter(|p| p.ready > 0.0 && !p.silent) else { return false };
+        let Some(p) = self.backends.get(&id).filter(|p| p.ready > 0.0 && !p.silent) else { return false };
         // Never overfill: a crowded backend slows for long, so a full one is drawn again.
-        let room = if r.value < LOW { (p.room / 2.0).ceil() } else { p.room };
-        f64::from(p.out) < room && self.fits(now, p, r)
+        let room = if r.value < LOW { (p.slots / 2.0).ceil() } else { p.slots };
+        f64::from(p.in_flight) < room && self.fits(now, p, r)
     }
 
     /// Whether the rules let the backend have this request.
-    fn fits(&self, now: Time, p: &Peer, r: &Request) -> bool {
+    fn fits(&self, now: Time, p: &BackendRecord, r: &Request) -> bool {
         // A repeat outside the scope that knows the key would run twice.
         let known = |s: &Sent| match self.cfg.classes[r.class].effect {
             Effect::Keyed(KeyScope::Zone, _) => s.never_ran || s.to.zone == p.entry.zone,
@@ -572,12 +427,12 @@
 
     /// Sends what is held, the densest worth first and the newest first inside it.
     fn pump(&mut self, now: Time) {
-        if self.held.is_empty() || self.blocked == f64::MAX {
+        if self.queue.is_empty() || self.blocked == f64::MAX {
             return;
         }
         let density = self.densities();
         let mut line: Vec<(f64, Time, RequestId, f64)> = Vec::new();
-        for id in std::mem::take(&mut self.held) {
+        for id in std::mem::take(&mut self.queue) {
             if let Some(r) = self.requests.get(&id) {
                 let value = if r.sent.is_empty() { r.value } else { f64::MAX };
                 line.push((density[r.class] * r.value, r.came, id, value));
@@ -586,7 +441,7 @@
         line.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)));
         for (_, _, id, value) in line {
             if value < self.blocked {
-                self.held.push(id); // nothing less urgent finds room either, and trying each costs CPU
+                self.queue.push(id); // nothing less urgent finds room either, and trying each costs CPU
                 continue;
             }
             let Some(mut r) = self.requests.remove(&id) else { continue };
@@ -594,13 +449,13 @@
             // What never ran has cost no work: only attempts beside those that may have are held to a number.
             let extra = r.sent.iter().any(|s| !s.never_ran);
             let sendable = self.may_send(now, &r) && (!extra || self.extra >= 1.0);
-            let backend = if sendable { self.draw(now, &r) } else { None };
-            if let Some(p) = backend.and_then(|b| self.peers.get_mut(&b)) {
+            let backend = if sendable { self.pick_backend(now, &r) } else { None };
+            if let Some(p) = backend.and_then(|b| self.backends.get_mut(&b)) {
                 self.extra -= f64::from(extra);
                 let (no, backend) = (AttemptNo(r.sent.len() as u32), p.entry.id);
-                r.sent.push(Sent { to: p.entry.clone(), at: now, out: true, never_ran: false });
-                p.out += 1;
-                self.out += 1;
+                r.sent.push(Sent { to: p.entry.clone(), at: now, in_flight: true, never_ran: false });
+                p.in_flight += 1;
+                self.in_flight += 1;
                 p.spent.retain(|s| now - s.0 < self.cfg.fall_window);
                 p.spent.push((now, work));
                 self.attempts.insert((id, no), (backend, r.class, now, false));
@@ -610,9 +465,9 @@
                 if !again {
                     self.blocked = self.blocked.max(if r.value < LOW { LOW } else { f64::MAX });
                 }
-                self.held.push(id);
+                self.queue.push(id);
             }
-            let over = !sendable && !r.out();
+            let over = !sendable && !r.in_flight();
             self.requests.insert(id, r);
             over.then(|| self.give_up(id));
         }
@@ -630,13 +485,13 @@
 
     fn close(&mut self, id: RequestId, in_time: Option<bool>) {
         let Some(r) = self.requests.remove(&id) else { return };
-        self.held.retain(|h| *h != id);
+        self.queue.retain(|h| *h != id);
         if let Some(good) = in_time {
             for (i, s) in self.classes.iter_mut().enumerate() {
                 s.in_time += (f64::from(good && i == r.class) - s.in_time) / KIND_SAMPLES;
             }
         }
-        for (no, _) in r.sent.iter().enumerate().filter(|(_, s)| s.out && self.cfg.cancel) {
+        for (no, _) in r.sent.iter().enumerate().filter(|(_, s)| s.in_flight && self.cfg.cancel) {
             self.actions.push(Action::Cancel { request: id, attempt: AttemptNo(no as u32) });
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,19 +1,19 @@
 //! What a proxy remembers: running estimates and plain records. No decisions.
 
-use crate::asking::Asking;
+use crate::idle_limit::IdleLimit;
 use crate::interface::*;
-use crate::keeping::Keeping;
-use crate::logic::{BRISK, HOLD, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY, UNLOADED_RISE};
+use crate::logic::{BRISK, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY, UNLOADED_RISE};
+use crate::subscription::Subscription;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The proxy's own random numbers, the same on every machine for the same seed.
-pub(crate) struct Dice(Pcg32);
+pub(crate) struct Rng(Pcg32);
 
-impl Dice {
-    pub fn new(seed: u64) -> Dice {
-        Dice(Pcg32::seed_from_u64(seed))
+impl Rng {
+    pub fn new(seed: u64) -> Rng {
+        Rng(Pcg32::seed_from_u64(seed))
     }
 
     /// Even from 0 up to 1.
@@ -131,31 +131,31 @@
     /// Highest weight that the list gave one of its backends: that of an idle one.
     pub idle_weight: f64,
     /// Part of this proxy's traffic.
-    pub pull: f64,
-    /// Its usable backends, each with its pull and those before it added up.
+    pub local_share: f64,
+    /// Its usable backends, each with its local share and those before it added up.
     pub line: Vec<(BackendId, f64)>,
 }
 
 impl Kind {
-    /// One of the usable backends, each by its pull; `part` is even from 0 to 1.
+    /// One of the usable backends, each by its local share; `part` is even from 0 to 1.
     pub fn pick(&self, part: f64) -> Option<BackendId> {
-        let at = self.line.partition_point(|l| l.1 <= part * self.pull);
+        let at = self.line.partition_point(|l| l.1 <= part * self.local_share);
         self.line.get(at).or(self.line.last()).map(|l| l.0)
     }
 }
 
 /// What is known of a backend.
 #[derive(Default)]
-pub(crate) struct Peer {
+pub(crate) struct BackendRecord {
     pub entry: Backend,
     /// From 0 (send nothing) to 1 (healthy and warm).
     pub ready: f64,
     /// Its part of this proxy's traffic.
-    pub pull: f64,
+    pub local_share: f64,
     /// How many attempts of this proxy it may hold.
-    pub room: f64,
+    pub slots: f64,
     /// How many it holds.
-    pub out: u32,
+    pub in_flight: u32,
     /// Running share of error answers.
     pub errors: f64,
     /// When it last answered anything.
@@ -185,7 +185,7 @@
     pub to: Backend,
     pub at: Time,
     /// It has not ended yet.
-    pub out: bool,
+    pub in_flight: bool,
     /// Its outcome proves that it did not run.
     pub never_ran: bool,
 }
@@ -204,29 +204,22 @@
 
 impl Request {
     /// Some attempt has not ended yet.
-    pub fn out(&self) -> bool {
-        self.sent.iter().any(|s| s.out)
+    pub fn in_flight(&self) -> bool {
+        self.sent.iter().any(|s| s.in_flight)
     }
 }
 
-/// The part of its capacity that a backend has if it needs that part of the longest ramp to warm.
-pub(crate) fn warmth(cfg: &Config, now: Time, entry: &Backend, ramp: f64) -> f64 {
-    let ramp = (cfg.ramp.secs() * ramp).max(1e-6);
-    let age = entry.booted.map_or(f64::MAX, |boot| (now - boot).secs() / ramp);
-    cfg.cold_from + (1.0 - cfg.cold_from) * age.min(1.0)
-}
-
 /// The decisions of one proxy. Give it every event in order; it answers with actions.
 pub struct Balancer {
     pub(crate) cfg: Config,
-    pub(crate) dice: Dice,
-    pub(crate) peers: BTreeMap<BackendId, Peer>,
+    pub(crate) rng: Rng,
+    pub(crate) backends: BTreeMap<BackendId, BackendRecord>,
     pub(crate) kinds: BTreeMap<KindId, Kind>,
     pub(crate) classes: Vec<ClassState>,
     pub(crate) overall: Mean,
     pub(crate) buckets: Vec<Bucket>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
-    pub(crate) held: Vec<RequestId>,
+    pub(crate) queue: Vec<RequestId>,
     /// First tries worth less than this have found no room since the last event that could make some.
     pub(crate) blocked: f64,
     /// Part of the traffic that is let in, and the part of the arrivals that is worth little.
@@ -234,10 +227,10 @@
     pub(crate) low: f64,
     pub(crate) attempts: BTreeMap<(RequestId, AttemptNo), (BackendId, usize, Time, bool)>,
     /// Attempts of this proxy that are out, and how many may be.
-    pub(crate) out: usize,
-    pub(crate) pool: f64,
+    pub(crate) in_flight: usize,
+    pub(crate) in_flight_limit: f64,
     /// How many were out over the last moments, and how many may be for longer.
-    pub(crate) hold_mean: Level,
+    pub(crate) in_flight_mean: Level,
     pub(crate) sustained: f64,
     pub(crate) silent: Vec<BackendId>,
     pub(crate) rate: Rate,
@@ -250,8 +243,8 @@
     /// When time alone next asks for attention.
     pub(crate) due: Time,
     pub(crate) timer: (u64, Option<Time>),
-    pub(crate) asking: Asking,
-    pub(crate) keeping: Keeping,
+    pub(crate) subscription: Subscription,
+    pub(crate) idle_limit: IdleLimit,
     pub(crate) log_at: Time,
     pub(crate) actions: Vec<Action>,
 }
@@ -261,21 +254,21 @@
     pub fn new(cfg: Config, seed: u64) -> Result<Balancer, ConfigError> {
         cfg.validate()?;
         Ok(Balancer {
-            dice: Dice::new(seed),
-            peers: BTreeMap::new(),
+            rng: Rng::new(seed),
+            backends: BTreeMap::new(),
             kinds: BTreeMap::new(),
             classes: cfg.classes.iter().map(|_| ClassState::default()).collect(),
             overall: Mean::default(),
             buckets: cfg.tenants.iter().map(|_| Bucket::default()).collect(),
             requests: BTreeMap::new(),
-            held: Vec::new(),
+            queue: Vec::new(),
             blocked: 0.0,
             admit: 1.0,
             low: 0.0,
             attempts: BTreeMap::new(),
-            out: 0,
-            pool: 0.0,
-            hold_mean: Level::default(),
+            in_flight: 0,
+            in_flight_limit: 0.0,
+            in_flight_mean: Level::default(),
             sustained: f64::INFINITY,
             silent: Vec::new(),
             rate: Rate::default(),
@@ -286,8 +279,8 @@
             solved: Time(0),
             due: Time(0),
             timer: (0, None),
-            asking: Asking::new(&cfg),
-            keeping: Keeping::default(),
+            subscription: Subscription::new(&cfg),
+            idle_limit: IdleLimit::default(),
             log_at: Time(0),
             actions: Vec::new(),
             cfg,
@@ -332,33 +325,24 @@
         }
     }
 
-    /// Work that all proxies may send to a cold backend in a fall window; infinite once it is warm.
-    pub(crate) fn fall_limit(&self, now: Time, p: &Peer) -> f64 {
-        let warmth = warmth(&self.cfg, now, &p.entry, 1.0);
-        if warmth >= 1.0 {
-            return f64::INFINITY;
-        }
-        let fair = self.rate.per_s().unwrap_or(1.0) * f64::from(self.cfg.proxies) / self.peers.len() as f64;
-        // Beside few ready backends the flow overshoots; one that holds no more than the hold is no faster than this.
-        let known = |k: &Kind| k.latency.get().map(|t| k.speed.min((1.0 + HOLD) / t));
-        let speed = self.kinds.get(&p.entry.kind).and_then(known).unwrap_or(fair);
-        self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs()
-    }
-
     /// Takes news of the list into the records; true if anything but weights changed.
     pub(crate) fn take_list(&mut self, update: ListUpdate, list: Vec<Backend>) -> bool {
         let mut changed = false;
         if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
             let named: BTreeSet<BackendId> = list.iter().map(|b| b.id).collect();
-            for p in self.peers.values_mut().filter(|p| !named.contains(&p.entry.id)) {
+            for p in self.backends.values_mut().filter(|p| !named.contains(&p.entry.id)) {
                 (p.entry.state, changed) = (BackendState::Gone, true);
             }
         }
         for entry in list {
-            let p = self.peers.entry(entry.id).or_default();
+            let p = self.backends.entry(entry.id).or_default();
             if p.entry.booted != entry.booted {
                 // A restarted process has nothing in common with the old one but its address.
-                *p = Peer { out: p.out, spent: std::mem::take(&mut p.spent), ..Peer::default() };
+                *p = BackendRecord {
+                    in_flight: p.in_flight,
+                    spent: std::mem::take(&mut p.spent),
+                    ..BackendRecord::default()
+                };
             }
             // A live weight moves all the time; the next regular solving takes it in.
             changed |= p.entry != Backend { weight: p.entry.weight, ..entry.clone() };
--- a/src/asking.rs
+++ b/src/subscription.rs
@@ -1,5 +1,6 @@
-//! When the proxy asks discovery for changes. All proxies ask one service that takes calls in turn, so each
-//! holds its calls to its part of what that service can bear; the rest of the module only learns the list.
+//! The subscription to the list: when the proxy asks discovery for changes. All proxies ask one service that
+//! takes calls in turn, so each holds its calls to its part of what that service can bear; the rest of the
+//! module only learns the list.
 
 use crate::interface::{Config, Discovery, Micros, Time};
 
@@ -38,9 +39,9 @@
     Waits,
 }
 
-/// The state of asking.
+/// The state of subscription.
 #[derive(Default)]
-pub(crate) struct Asking {
+pub(crate) struct Subscription {
     /// When to ask next; `None` while changes come by themselves.
     pub due: Option<Time>,
     /// The last wait after a failure, s.
@@ -48,10 +49,10 @@
     call: Call,
 }
 
-impl Asking {
+impl Subscription {
     /// Asks as soon as it may, where it has to ask at all.
-    pub fn new(cfg: &Config) -> Asking {
-        Asking { due: (cfg.discovery != Discovery::Push).then_some(Time(0)), ..Asking::default() }
+    pub fn new(cfg: &Config) -> Subscription {
+        Subscription { due: (cfg.discovery != Discovery::Push).then_some(Time(0)), ..Subscription::default() }
     }
 
     /// It has an old list to serve from: many proxies that start together must not all ask together.
