Hold proxies to the 6 s in which a change counts as told, with or without an answer

Ruled out: the watch itself (its time-outs are short) and the network code, which asks when the module wishes to.

Whoever may thus have missed a change sends only to backends that took a request sent within the last 6 s: such a one drained no sooner, and that counts as told only 6 s later. A proxy that has had no traffic either refuses until it is told.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,6 +6,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use crate::subscription::TOLD;
 
 /// Memory of a kind's speed, s: a machine's speed changes seldom, the rate it is computed from all the time.
 pub(crate) const SPEED_MEMORY: f64 = 10.0;
@@ -106,16 +107,17 @@
     fn members(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) {
         match update {
             ListUpdate::Lost => {
-                self.subscription.lost(now, &self.cfg, self.rng.unit());
+                self.subscription.failed(now, &self.cfg, self.rng.unit());
                 self.log(now, "discovery lost, asking again".into());
             }
             ListUpdate::Silent => {
                 self.subscription.silent(now, &self.cfg);
                 self.log(now, "discovery silent, asking anew".into());
             }
-            ListUpdate::Changes | ListUpdate::Full => self.subscription.answered(),
-            ListUpdate::Cached if list.is_empty() => {}
-            ListUpdate::Cached => self.subscription.have_old_list(now, &self.cfg, || self.rng.unit()),
+            ListUpdate::Changes | ListUpdate::Full => self.subscription.answered(now),
+            ListUpdate::Cached => {
+                self.subscription.started(now, &self.cfg, !list.is_empty(), || self.rng.unit());
+            }
         }
         self.wake_by(self.subscription.due.unwrap_or(self.due));
         if self.take_list(update, list) {
@@ -234,7 +236,7 @@
         let kind = p.entry.kind;
         match end.outcome {
             Outcome::Ok => {
-                p.answered = now;
+                (p.answered, p.accepted) = (now, p.accepted.max(sent));
                 p.errors *= 1.0 - step;
                 p.strikes = 0;
                 if slow {
@@ -408,7 +410,10 @@
             _ => true,
         };
         let fresh = r.sent.iter().all(|s| s.to.id != p.entry.id && known(s));
-        p.entry.state == BackendState::Ready && fresh && self.budget(now, p) >= self.work(r.class)
+        // What a list that may be out of date still calls ready has to have shown it: a backend that took a
+        // request drained no sooner, and that counts as told only so much later.
+        let listed = self.subscription.is_current(now, &self.cfg) || now - p.accepted < TOLD;
+        p.entry.state == BackendState::Ready && listed && fresh && self.budget(now, p) >= self.work(r.class)
     }
 
     /// Worth to the goal of serving a request of each class, for each unit of work.
--- a/src/state.rs
+++ b/src/state.rs
@@ -160,6 +160,8 @@
     pub errors: f64,
     /// When it last answered anything.
     pub answered: Time,
+    /// When the newest request that it took was sent: then it did not drain.
+    pub accepted: Time,
     /// It owes an answer for suspiciously long.
     pub silent: bool,
     /// Out of use, until this time at least.
