Keep traffic near only where the list's zones are those that the settings count

Seen: with 2 zones told and 8 in the list, none of them the proxy's own, an idle fleet refused all 320 of 320 requests; 284 with one backend of 16 in the own zone; 239 with the own among the eight; 320 with as many zones as told but the own missing, and with one zone that is not the own. With one large zone among eight the six small ones got nothing. All with a number of proxies that the zones told divide and a cost of crossing; other numbers were never biased.

Ruled out: slots, the pool, shedding and cold limits (no backend was cold, one request at a time).

Cause: `allot` in src/shares.rs takes each zone to bring 1/zones of the traffic and sends what the own zone is not due to zones due more than that. With more zones than told each can be due less than 1/zones: nobody is "rich", the surplus is dropped, the shares add up to less than 1 (down to the trace of 1e-6), and `request` in src/logic.rs refuses the rest as if cold backends held it back.

Change: the bias holds only where the zones of the list and the own zone together are no more than those told. Then the dues add up to 1 over at most `zones` zones, so that any deficit of the own zone is a surplus elsewhere and the shares add up to 1; an own zone that is lost still counts as one of those told. Where the list names others, nobody can know what they bring, and each backend gets its plain part. Where zones match, no expression has changed.

--- a/src/shares.rs
+++ b/src/shares.rs
@@ -5,7 +5,7 @@
 use crate::interface::*;
 use crate::logic::{CONCURRENCY, ERROR_MEMORY};
 use crate::state::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The proxies' parts of a backend's hold change hands this often, s: long beside any request.
 const TURN: f64 = 5.0;
@@ -94,6 +94,7 @@
     /// Each backend's part of this proxy's traffic: its kind's share by readiness. Where crossing zones costs
     /// and all have as many proxies, traffic stays near so far as all together still give every backend
     /// the same part: a zone that brings more than its backends are due sends the rest to zones due more.
+    /// That takes the zones told for those of the list: where it names others, nobody knows what they bring.
     pub(crate) fn allot(&mut self, now: Time) {
         let epoch = now.0 / Micros::from_secs(TURN).0;
         let proxies = f64::from(self.cfg.proxies);
@@ -104,7 +105,9 @@
         let ready = self.backends.values().filter(|p| p.ready > 0.0);
         ready.for_each(|p| *due.entry(p.entry.zone).or_default() += part(&self.kinds, p));
         let zones = f64::from(self.cfg.zones);
-        let biased = self.cfg.cross_zone_cost > 0.0 && self.cfg.proxies % self.cfg.zones == 0;
+        let named = self.backends.values().map(|p| p.entry.zone).chain([self.cfg.zone]);
+        let known = named.collect::<BTreeSet<ZoneId>>().len() <= self.cfg.zones as usize;
+        let biased = known && self.cfg.cross_zone_cost > 0.0 && self.cfg.proxies % self.cfg.zones == 0;
         let rich: f64 = due.values().map(|d| (d * zones - 1.0).max(0.0)).sum();
         let own = due.get(&self.cfg.zone).copied().unwrap_or(0.0);
         let mine = CONCURRENCY / proxies * self.kinds.values().map(|k| k.ready).sum::<f64>();
