--- /dev/null
+++ b/scale/src/real/client.rs
@@ -0,0 +1,175 @@
+//! An open-loop client over kept connections, and a probe of the data path.
+
+use crate::failure::Failure;
+use crate::world::tenant_name;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+type Sender = SendRequest<Empty<Bytes>>;
+
+/// How long a client waits for its answer, ms.
+const TIME_LEFT_MS: u64 = 2_000;
+
+async fn connect(to: SocketAddr) -> Result<Sender, String> {
+    let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            tracing::debug!("connection to the proxy: {e}");
+        }
+    });
+    Ok(sender)
+}
+
+/// Asks once whether the proxy is ready; an error where nothing answers.
+pub async fn ready(proxy: SocketAddr) -> Result<bool, String> {
+    let mut sender = connect(proxy).await?;
+    probe(&mut sender).await
+}
+
+async fn probe(sender: &mut Sender) -> Result<bool, String> {
+    let request = Request::get("/-/ready").header("host", "probe").body(Empty::new());
+    let request = request.map_err(|e| e.to_string())?;
+    let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+    let status = answer.status();
+    answer.into_body().collect().await.map_err(|e| e.to_string())?;
+    Ok(status == StatusCode::OK)
+}
+
+/// Round trips of a cheap request on a kept connection, each right after a pause of 1 ms: the longest is the
+/// longest time for which the proxy's one thread did something else.
+pub async fn probe_for(proxy: SocketAddr, span: Duration) -> Result<Histogram<u64>, Failure> {
+    // On a thread of its own: what the stand-ins do must not count.
+    let probes = tokio::task::spawn_blocking(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.map_err(|e| e.to_string())?.block_on(probe_here(proxy, span))
+    });
+    let ended = probes.await.map_err(|e| Failure::run("probe of the data path")(&e))?;
+    ended.map_err(|e| Failure::run("probe of the data path")(&e))
+}
+
+async fn probe_here(proxy: SocketAddr, span: Duration) -> Result<Histogram<u64>, String> {
+    let mut sender = connect(proxy).await?;
+    let mut trips = histogram();
+    let end = Instant::now() + span;
+    while Instant::now() < end {
+        let sent = Instant::now();
+        probe(&mut sender).await?;
+        trips.saturating_record(sent.elapsed().as_micros() as u64);
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    Ok(trips)
+}
+
+/// Microseconds up to a minute, to three digits.
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 60_000_000, 3).expect("sound bounds")
+}
+
+/// What clients saw.
+pub struct Seen {
+    /// Time beyond the backend's own, us, of served requests.
+    pub added: Histogram<u64>,
+    /// Answers other than 200, and requests without an answer.
+    pub not_served: u64,
+}
+
+/// What the clients share.
+struct Clients {
+    proxy: SocketAddr,
+    idle: Mutex<Vec<Sender>>,
+    seen: Mutex<Seen>,
+}
+
+/// The load: a Poisson stream of requests, each on a connection that is free then.
+pub struct Load {
+    clients: Arc<Clients>,
+    random: Pcg64Mcg,
+    gaps: Exp<f64>,
+    tenants: usize,
+    next: Instant,
+    sent: u64,
+}
+
+impl Load {
+    /// A load on that proxy at so many requests a second.
+    pub fn new(proxy: SocketAddr, per_s: f64, tenants: usize, seed: u64) -> Result<Load, Failure> {
+        let gaps = Exp::new(per_s).map_err(|e| Failure::Input(format!("rate {per_s}: {e}")))?;
+        let seen = Mutex::new(Seen { added: histogram(), not_served: 0 });
+        let clients = Arc::new(Clients { proxy, idle: Mutex::default(), seen });
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        Ok(Load { clients, random, gaps, tenants, next: Instant::now(), sent: 0 })
+    }
+
+    /// Goes on for so long and tells what was seen meanwhile.
+    pub async fn run(&mut self, span: Duration) -> Seen {
+        let end = Instant::now() + span;
+        self.next = self.next.max(Instant::now());
+        while self.next < end {
+            tokio::time::sleep_until(self.next.into()).await;
+            self.next += Duration::from_secs_f64(self.gaps.sample(&mut self.random));
+            self.sent += 1;
+            let tenant = (self.tenants > 0).then(|| self.random.random_range(0..self.tenants));
+            // A slow answer holds up no later request.
+            tokio::spawn(self.clients.clone().ask(self.random.random(), tenant));
+        }
+        tokio::time::sleep_until(end.into()).await;
+        let fresh = Seen { added: histogram(), not_served: 0 };
+        std::mem::replace(&mut *self.clients.seen.lock().expect("no holder panics"), fresh)
+    }
+}
+
+impl Clients {
+    async fn ask(self: Arc<Self>, id: u64, tenant: Option<usize>) {
+        let answer = self.try_ask(id, tenant).await;
+        let mut seen = self.seen.lock().expect("no holder panics");
+        match answer {
+            Ok(added) => seen.added.saturating_record(added.as_micros() as u64),
+            Err(text) => {
+                tracing::debug!("not served: {text}");
+                seen.not_served += 1;
+            }
+        }
+    }
+
+    async fn try_ask(&self, id: u64, tenant: Option<usize>) -> Result<Duration, String> {
+        let idle = self.idle.lock().expect("no holder panics").pop();
+        let mut sender = match idle.filter(Sender::is_ready) {
+            Some(sender) => sender,
+            None => connect(self.proxy).await?,
+        };
+        let mut request = Request::get("/read/a")
+            .header("host", "backend.local")
+            .header("x-correlation-id", format!("{id:016x}"))
+            .header("x-service-class", "read")
+            .header("x-time-left-ms", TIME_LEFT_MS);
+        if let Some(tenant) = tenant {
+            request = request.header("x-account", tenant_name(tenant));
+        }
+        let request = request.body(Empty::new()).map_err(|e| e.to_string())?;
+        let sent = Instant::now();
+        let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
+        let status = answer.status();
+        let body = answer.into_body().collect().await.map_err(|e| e.to_string())?.to_bytes();
+        let took = sent.elapsed();
+        self.idle.lock().expect("no holder panics").push(sender);
+        if status != StatusCode::OK {
+            return Err(format!("status {status}"));
+        }
+        let service = std::str::from_utf8(&body).ok().and_then(|text| text.parse().ok());
+        let service = service.ok_or("a body that no backend wrote")?;
+        Ok(took.saturating_sub(Duration::from_micros(service)))
+    }
+}
