--- a/scale/src/args.rs
+++ b/scale/src/args.rs
@@ -1,8 +1,10 @@
 //! What the command line says.
 
 use crate::failure::Failure;
+use crate::hollow::scenario::Scenario;
+use crate::hollow::{self, Flaws, WARM_UP_SECS};
 use crate::real;
-use crate::world::{Mode, TARGET_PROXIES};
+use crate::world::{Mode, PEAK_PER_S, TARGET_BACKENDS, TARGET_PROXIES};
 use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -21,6 +23,10 @@
 pub enum Command {
     /// The real proxy beside stand-ins, cell by cell of backends x tenants.
     Real(RealArgs),
+    /// Hollow proxies on a simulated clock.
+    Fleet(FleetArgs),
+    /// A stated matrix of both, with one table.
+    All(AllArgs),
 }
 
 /// Options of `real`.
@@ -73,6 +79,73 @@
     pub json: Option<PathBuf>,
 }
 
+/// Options of `fleet`.
+#[derive(Clone, Debug, Args)]
+pub struct FleetArgs {
+    /// What happens; more than one make more runs.
+    #[arg(long, value_enum, value_delimiter = ',', default_value = "calm,outage,cold,release")]
+    pub scenario: Vec<Scenario>,
+    /// How many proxies there are.
+    #[arg(long, default_value_t = 30)]
+    pub proxies: u32,
+    /// How many backends there are.
+    #[arg(long, default_value_t = 464)]
+    pub backends: usize,
+    /// Requests a second at a proxy, on average; without it, what gives a backend the target's peak load.
+    #[arg(long)]
+    pub rate: Option<f64>,
+    /// One proxy in ten gets so many times as much as the others.
+    #[arg(long, default_value_t = 1.0)]
+    pub skew: f64,
+    /// Simulated seconds, 4 of them to warm up.
+    #[arg(long, default_value_t = 24.0)]
+    pub secs: f64,
+    /// Discovery's time for a call, ms; without it, what lets it serve all proxies once in 6.5 s.
+    #[arg(long)]
+    pub call_ms: Option<f64>,
+    /// Backends replaced a second, on a calm day.
+    #[arg(long, default_value_t = 0.2)]
+    pub churn: f64,
+    /// Backends of a rack; without it, one in 425, at least 4.
+    #[arg(long)]
+    pub rack: Option<usize>,
+    /// A connection that has been idle for so long is closed, s.
+    #[arg(long, default_value_t = 30.0)]
+    pub conn_idle_secs: f64,
+    /// What the goal loses when every request crosses zones once.
+    #[arg(long, default_value_t = 0.0)]
+    pub cross_zone: f64,
+    /// Threads; they change no figure.
+    #[arg(long, default_value_t = 3)]
+    pub threads: usize,
+    /// For all that is random.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Writes the figures to this file, as JSON: the same bytes for the same options.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+}
+
+/// Options of `all`.
+#[derive(Clone, Debug, Args)]
+pub struct AllArgs {
+    /// A smaller matrix and shorter spans.
+    #[arg(long)]
+    pub quick: bool,
+    /// The proxy's program.
+    #[arg(long, default_value = "target/release/gaugesaddle")]
+    pub proxy: PathBuf,
+    /// Threads of the fleets, and cells of the real proxy at once.
+    #[arg(long, default_value_t = 3)]
+    pub threads: usize,
+    /// For all that is random.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Writes the figures to this file, as JSON.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+}
+
 /// The cells of a matrix may hold so many backends and tenants.
 const MOST: usize = 200_000;
 
@@ -133,3 +206,106 @@
         cells.map(setup).collect()
     }
 }
+
+/// All proxies together call once in so many seconds at the soonest, unless it is told otherwise.
+const ROUND_SECS: f64 = 6.5;
+
+impl FleetArgs {
+    /// One setup a scenario.
+    pub fn setups(&self) -> Result<Vec<hollow::Setup>, Failure> {
+        let bounds = |name: &str, got: f64, least: f64, most: f64| {
+            let sound = (least..=most).contains(&got);
+            check(sound, || format!("--{name}: expected {least} to {most}, got {got}"))
+        };
+        bounds("proxies", f64::from(self.proxies), 1.0, 5_000.0)?;
+        bounds("backends", self.backends as f64, 8.0, MOST as f64)?;
+        bounds("skew", self.skew, 1.0, 1_000.0)?;
+        bounds("churn", self.churn, 0.0, 1_000.0)?;
+        bounds("cross-zone", self.cross_zone, 0.0, 1_000.0)?;
+        bounds("threads", self.threads as f64, 1.0, 64.0)?;
+        bounds("conn-idle-secs", self.conn_idle_secs, 1.0, 3_600.0)?;
+        let even = PEAK_PER_S * self.backends as f64 / TARGET_BACKENDS as f64 / f64::from(self.proxies);
+        let call_ms = self.call_ms.unwrap_or(ROUND_SECS * 1000.0 / f64::from(self.proxies));
+        bounds("call-ms", call_ms, 0.001, 60_000.0)?;
+        let rack = self.rack.unwrap_or((self.backends / 425).max(4));
+        bounds("rack", rack as f64, 1.0, (self.backends / 8) as f64)?;
+        let per_s = rate("rate", self.rate.unwrap_or(even), 100_000.0)?;
+        let setup = |scenario: &Scenario| {
+            bounds("secs", self.secs, WARM_UP_SECS + scenario.least_secs(), 3_600.0)?;
+            Ok(hollow::Setup {
+                scenario: *scenario,
+                proxies: self.proxies,
+                backends: self.backends,
+                per_s,
+                skew: self.skew,
+                secs: self.secs,
+                call_ms,
+                churn_per_s: self.churn,
+                rack,
+                conn_idle_secs: self.conn_idle_secs,
+                cross_zone: self.cross_zone,
+                seed: self.seed,
+                flaws: Flaws::default(),
+            })
+        };
+        check(!self.scenario.is_empty(), || "--scenario: expected one at least".into())?;
+        self.scenario.iter().map(setup).collect()
+    }
+}
+
+impl AllArgs {
+    /// The cells of the real proxy: the sizes from today's to the target's.
+    pub fn real(&self) -> RealArgs {
+        let (backends, tenants, idle_secs, load_secs) = if self.quick {
+            (vec![200, 17_000], vec![0, 58_000], 6.0, 20.0)
+        } else {
+            (vec![200, 2_000, 17_000], vec![0, 5_800, 58_000], 20.0, 120.0)
+        };
+        RealArgs {
+            proxy: self.proxy.clone(),
+            backends,
+            tenants,
+            discovery: Mode::Automatic,
+            known: false,
+            position: 0,
+            listeners: 256,
+            rate: 70.0,
+            service_ms: 5,
+            idle_secs,
+            load_secs,
+            conn_idle_secs: 30.0,
+            jobs: self.threads,
+            seed: self.seed,
+            json: None,
+        }
+    }
+
+    /// The fleets: the target's size as long as the time allows, and all scenarios at smaller ones. The largest is
+    /// first: only the first tells its memory.
+    pub fn fleets(&self) -> Vec<FleetArgs> {
+        use Scenario::{Calm, Cold, Outage, Release};
+        let all = vec![Calm, Outage, Cold, Release];
+        let sizes: Vec<(u32, usize, f64, Vec<Scenario>)> = if self.quick {
+            vec![(300, 4_640, 8.0, vec![Calm]), (30, 464, 24.0, all)]
+        } else {
+            vec![(1_100, 17_000, 12.0, vec![Calm]), (300, 4_640, 24.0, all.clone()), (30, 464, 24.0, all)]
+        };
+        let fleet = |(proxies, backends, secs, scenario)| FleetArgs {
+            scenario,
+            proxies,
+            backends,
+            rate: None,
+            skew: 1.0,
+            secs,
+            call_ms: None,
+            churn: 0.2,
+            rack: None,
+            conn_idle_secs: 30.0,
+            cross_zone: 0.0,
+            threads: self.threads,
+            seed: self.seed,
+            json: None,
+        };
+        sizes.into_iter().map(fleet).collect()
+    }
+}
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -1,8 +1,10 @@
 //! The command line of the scale tests.
 #![forbid(unsafe_code)]
 
-use brookstack_scale::args::{Cli, Command, RealArgs};
+use brookstack_scale::args::{AllArgs, Cli, Command, FleetArgs, RealArgs};
 use brookstack_scale::failure::Failure;
+use brookstack_scale::hollow::figures::Figures;
+use brookstack_scale::hollow::{self, Cost};
 use brookstack_scale::{real, report};
 use clap::Parser;
 use std::process::ExitCode;
@@ -12,6 +14,8 @@
     let cli = Cli::parse(); // ends with 2 where the line can't be read
     let ended = match &cli.command {
         Command::Real(args) => run_real(args),
+        Command::Fleet(args) => run_fleet(args),
+        Command::All(args) => run_all(args),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -28,3 +32,52 @@
     print!("{}", report::real_table(&cells));
     args.json.iter().try_for_each(|file| report::write_json(file, &cells))
 }
+
+fn play(args: &FleetArgs) -> Result<Vec<(Figures, Cost)>, Failure> {
+    let run = |setup: hollow::Setup| {
+        let played = hollow::run(&setup, args.threads)?;
+        tracing::info!(
+            proxies = setup.proxies,
+            backends = setup.backends,
+            "fleet done: {:?}",
+            setup.scenario
+        );
+        Ok(played)
+    };
+    args.setups()?.into_iter().map(run).collect()
+}
+
+/// Failed checks end the command with 1, after its tables.
+fn judge(runs: &[(Figures, Cost)]) -> Result<(), Failure> {
+    let failed = report::failed_checks(runs);
+    failed.iter().for_each(|line| println!("check failed: {line}"));
+    match failed.len() {
+        0 => Ok(()),
+        n => Err(Failure::Check(format!("{n} checks failed"))),
+    }
+}
+
+fn run_fleet(args: &FleetArgs) -> Result<(), Failure> {
+    let runs = play(args)?;
+    print!("{}", report::fleet_table(&runs));
+    let figures: Vec<&Figures> = runs.iter().map(|r| &r.0).collect();
+    args.json.iter().try_for_each(|file| report::write_json(file, &figures))?;
+    judge(&runs)
+}
+
+fn run_all(args: &AllArgs) -> Result<(), Failure> {
+    let real_args = args.real();
+    let setups = real_args.setups()?;
+    let mut runs = Vec::new();
+    for fleet in args.fleets() {
+        runs.extend(play(&fleet)?);
+    }
+    let cells = real::run_all(setups, real_args.jobs)?;
+    println!("The real proxy beside stand-ins:\n\n{}", report::real_table(&cells));
+    println!("Hollow proxies on a simulated clock:\n\n{}", report::fleet_table(&runs));
+    let fleets: Vec<&Figures> = runs.iter().map(|r| &r.0).collect();
+    let costs: Vec<&Cost> = runs.iter().map(|r| &r.1).collect();
+    let figures = serde_json::json!({"real": cells, "fleets": fleets, "costs": costs});
+    args.json.iter().try_for_each(|file| report::write_json(file, &figures))?;
+    judge(&runs)
+}
--- a/scale/src/real/client.rs
+++ b/scale/src/real/client.rs
@@ -48,9 +48,12 @@
     Ok(status == StatusCode::OK)
 }
 
+/// A probe's round trip: when it began and how long it took.
+pub type Trip = (Instant, Duration);
+
 /// Round trips of a cheap request on a kept connection, each right after a pause of 1 ms: the longest is the
 /// longest time for which the proxy's one thread did something else.
-pub async fn probe_for(proxy: SocketAddr, span: Duration) -> Result<Histogram<u64>, Failure> {
+pub async fn probe_for(proxy: SocketAddr, span: Duration) -> Result<Vec<Trip>, Failure> {
     // On a thread of its own: what the stand-ins do must not count.
     let probes = tokio::task::spawn_blocking(move || {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -60,14 +63,13 @@
     ended.map_err(|e| Failure::run("probe of the data path")(&e))
 }
 
-async fn probe_here(proxy: SocketAddr, span: Duration) -> Result<Histogram<u64>, String> {
+async fn probe_here(proxy: SocketAddr, span: Duration) -> Result<Vec<Trip>, String> {
     let mut sender = connect(proxy).await?;
-    let mut trips = histogram();
-    let end = Instant::now() + span;
+    let (mut trips, end) = (Vec::new(), Instant::now() + span);
     while Instant::now() < end {
         let sent = Instant::now();
         probe(&mut sender).await?;
-        trips.saturating_record(sent.elapsed().as_micros() as u64);
+        trips.push((sent, sent.elapsed()));
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
     Ok(trips)
--- a/scale/src/real/mod.rs
+++ b/scale/src/real/mod.rs
@@ -8,11 +8,12 @@
 use crate::failure::Failure;
 use crate::world::{self, Deployment, Mode, TARGET_PROXIES};
 use backends::Backends;
-use client::Load;
+use client::{Load, Trip};
 use discovery::Discovery;
 use process::{Proxy, Usage};
 use serde::Serialize;
 use serde_json::json;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -100,24 +101,48 @@
     pub added_p99_ms: f64,
     /// The longest, ms.
     pub added_max_ms: f64,
-    /// Longest round trip of a probe under load when nothing comes, ms.
-    pub stall_plain_ms: f64,
-    /// The same around changes of one entry, ms.
-    pub stall_change_ms: f64,
-    /// The same around whole lists, ms.
-    pub stall_whole_ms: f64,
+    /// Stall of the data path under load when nothing comes.
+    pub stall_plain: Stall,
+    /// The same when one entry changes.
+    pub stall_change: Stall,
+    /// The same when a whole list comes.
+    pub stall_whole: Stall,
     /// Probes in these three windows.
-    pub probes: [u64; 3],
+    pub probes: [usize; 3],
 }
 
 /// Without a 200 from `/-/ready` after this time the cell has failed.
 const READY_WITHIN: Duration = Duration::from_secs(60);
 /// After the first 200 its first work is done within this time.
 const SETTLE: Duration = Duration::from_secs(2);
-/// One window of probes.
-const PROBES: Duration = Duration::from_millis(3_000);
-/// Events of one sort in a window of probes, and the time between them.
-const EVENTS: (usize, Duration) = (4, Duration::from_millis(600));
+/// Time for which probes go on around events of one sort.
+const PROBES: Duration = Duration::from_millis(3_600);
+/// Events of one sort, the time between them, and the time after each over which its stall is looked for.
+const EVENTS: usize = 5;
+const BETWEEN: Duration = Duration::from_millis(600);
+const AFTER: Duration = Duration::from_millis(400);
+
+/// The longest round trips of probes, one for each event of a sort.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Stall {
+    /// The middle one, ms.
+    pub median_ms: f64,
+    /// The longest, ms; on a shared machine it may be the machine's.
+    pub longest_ms: f64,
+}
+
+impl Stall {
+    fn of(trips: &[Trip], events: &[Instant]) -> Stall {
+        let near = |at: &Instant| {
+            let hit = |t: &&Trip| t.0 + t.1 >= *at && t.0 < *at + AFTER;
+            trips.iter().filter(hit).map(|t| t.1.as_secs_f64() * 1000.0).fold(0.0, f64::max)
+        };
+        let mut longest: Vec<f64> = events.iter().map(near).collect();
+        longest.sort_by(f64::total_cmp);
+        let at = |i: usize| longest.get(i).copied().unwrap_or(0.0);
+        Stall { median_ms: at(longest.len() / 2), longest_ms: at(longest.len().saturating_sub(1)) }
+    }
+}
 
 /// Threads that the stand-ins of all cells share.
 const THREADS: usize = 2;
@@ -179,7 +204,7 @@
 
     // The load goes on under the probes: it is the data path that may stall.
     let probes = async {
-        let plain = client::probe_for(proxy.address, PROBES).await?;
+        let plain = around(proxy.address, |_| {}).await?;
         let before = discovery.bytes();
         let change = |n: usize| {
             // Alternately draining and ready: each is news.
@@ -187,7 +212,7 @@
             discovery.change(0, text(0, &backends, status));
         };
         let changed = around(proxy.address, change).await?;
-        let change_bytes = (discovery.bytes() - before) as f64 / EVENTS.0 as f64;
+        let change_bytes = (discovery.bytes() - before) as f64 / EVENTS as f64;
         let whole = around(proxy.address, |_| discovery.push_whole()).await?;
         Ok::<_, Failure>((plain, changed, whole, change_bytes))
     };
@@ -227,10 +252,10 @@
         added_p50_ms: ms(seen.added.value_at_quantile(0.5)),
         added_p99_ms: ms(seen.added.value_at_quantile(0.99)),
         added_max_ms: ms(seen.added.max()),
-        stall_plain_ms: ms(plain.max()),
-        stall_change_ms: ms(changed.max()),
-        stall_whole_ms: ms(whole.max()),
-        probes: [plain.len(), changed.len(), whole.len()],
+        stall_plain: plain.0,
+        stall_change: changed.0,
+        stall_whole: whole.0,
+        probes: [plain.1, changed.1, whole.1],
     })
 }
 
@@ -244,18 +269,19 @@
     json!(line).to_string()
 }
 
-/// Probes while something happens several times.
-async fn around(
-    proxy: std::net::SocketAddr, mut happens: impl FnMut(usize),
-) -> Result<hdrhistogram::Histogram<u64>, Failure> {
+/// Probes while something happens several times; tells the stalls and the number of probes.
+async fn around(proxy: SocketAddr, mut happens: impl FnMut(usize)) -> Result<(Stall, usize), Failure> {
     let events = async {
-        for n in 0..EVENTS.0 {
-            tokio::time::sleep(EVENTS.1).await;
+        let mut at = Vec::new();
+        for n in 0..EVENTS {
+            tokio::time::sleep(BETWEEN).await;
+            at.push(Instant::now());
             happens(n);
         }
+        at
     };
-    let (trips, ()) = tokio::join!(client::probe_for(proxy, PROBES), events);
-    trips
+    let (trips, at) = tokio::join!(client::probe_for(proxy, PROBES), events);
+    trips.map(|trips| (Stall::of(&trips, &at), trips.len()))
 }
 
 /// Starts the proxy and waits until it is ready. Another program may take its port first: then it ends, and
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -1,6 +1,8 @@
 //! Figures as markdown tables and as JSON.
 
 use crate::failure::Failure;
+use crate::hollow::figures::Figures;
+use crate::hollow::Cost;
 use crate::real::Cell;
 use serde::Serialize;
 use std::path::Path;
@@ -44,7 +46,7 @@
         "idle, bytes/s",
         "new connections a request (1st, 2nd half)",
         "added p50 / p99 / longest, ms",
-        "longest stall plain / change / whole list, ms",
+        "stall of the data path: none / change / whole list, ms, median of 5 (longest)",
         "requests, not served",
     ]);
     for c in cells {
@@ -61,13 +63,100 @@
             format!("{:.0}", c.idle_bytes_per_s),
             format!("{:.2}, {:.2}", c.new_connections[0], c.new_connections[1]),
             format!("{:.2} / {:.2} / {:.1}", c.added_p50_ms, c.added_p99_ms, c.added_max_ms),
-            format!("{:.1} / {:.1} / {:.1}", c.stall_plain_ms, c.stall_change_ms, c.stall_whole_ms),
+            [c.stall_plain, c.stall_change, c.stall_whole]
+                .map(|s| format!("{:.1} ({:.1})", s.median_ms, s.longest_ms))
+                .join(" / "),
             format!("{}, {}", c.requests, c.not_served),
         ]);
     }
     table
 }
 
+/// The fleets of hollow proxies.
+pub fn fleet_table(runs: &[(Figures, Cost)]) -> Table {
+    let mut table = Table::new(&[
+        "proxies x backends",
+        "scenario",
+        "requests (a proxy and second)",
+        "served, %",
+        "refused / failed / unanswered / cut",
+        "answer p50 / p99, ms",
+        "held before the first attempt p50 / p99, ms",
+        "largest load over mean in a kind (by chance)",
+        "spread of loads beyond chance, % of the mean",
+        "backends a proxy used (least, mean, most)",
+        "proxies a backend was used by (least, mean, most)",
+        "new connections an attempt (1st, 2nd half)",
+        "cold: backends, worst window (N), part of its bound, attempts beyond",
+        "discovery: changes, calls, refused, queued too long",
+        "told after p50 / p99 / longest, s; later than 6 s",
+        "sent to backends that leave: after told, after 6 s",
+        "state, KB a proxy",
+        "wall, s (threads)",
+    ]);
+    for (f, cost) in runs {
+        let (c, load, told) = (&f.requests, &f.load, &f.told);
+        let worst = load.kinds.iter().max_by(|a, b| a.largest_over_mean.total_cmp(&b.largest_over_mean));
+        let (largest, chance) = worst.map_or((0.0, 0.0), |k| (k.largest_over_mean, k.by_chance));
+        let excess = load.kinds.iter().map(|k| k.excess_spread).fold(0.0, f64::max);
+        let spread =
+            |s: &crate::hollow::figures::Spread| format!("{}, {:.1}, {}", s.least, s.mean, s.largest);
+        let secs = |ms: f64| ms / 1000.0;
+        table.row(vec![
+            format!("{} x {}", f.setup.proxies, f.setup.backends),
+            json_word(&f.setup.scenario),
+            format!("{} ({:.1})", c.came, f.setup.per_s),
+            format!("{:.2}", 100.0 * c.served as f64 / c.came.max(1) as f64),
+            format!("{} / {} / {} / {}", c.refused, c.failed, c.unanswered, c.cut),
+            format!("{:.0} / {:.0}", f.latency_p50_ms, f.latency_p99_ms),
+            format!("{:.1} / {:.1}", f.held_p50_ms, f.held_p99_ms),
+            format!("{largest:.2} ({chance:.2})"),
+            format!("{:.0}", 100.0 * excess),
+            spread(&load.backends_a_proxy),
+            spread(&load.proxies_a_backend),
+            format!("{:.2}, {:.2}", load.new_connections[0], load.new_connections[1]),
+            format!(
+                "{}, {} ({:.1}), {:.2}, {}",
+                f.cold.backends,
+                f.cold.worst_requests,
+                f.cold.worst_budget,
+                f.cold.worst_part_of_bound,
+                f.cold.over
+            ),
+            format!("{}, {}, {}, {}", told.changes, told.calls, told.refused, told.queued_too_long),
+            format!(
+                "{:.3} / {:.2} / {:.2}; {} of {}",
+                secs(told.delay_p50_ms),
+                secs(told.delay_p99_ms),
+                secs(told.delay_max_ms),
+                told.over_6s,
+                told.pairs
+            ),
+            format!("{}, {}", f.late.after_told, f.late.after_clock),
+            cost.kb_a_proxy.map_or("-".into(), |kb| format!("{kb:.0}")),
+            format!("{:.1} ({})", cost.wall_secs, cost.threads),
+        ]);
+    }
+    table
+}
+
+/// The checks that failed, one a line.
+pub fn failed_checks(runs: &[(Figures, Cost)]) -> Vec<String> {
+    let failed = runs.iter().flat_map(|(f, _)| f.checks.iter().filter(|c| !c.holds).map(move |c| (f, c)));
+    failed
+        .map(|(f, c)| {
+            let name = json_word(&f.setup.scenario);
+            let (proxies, backends) = (f.setup.proxies, f.setup.backends);
+            format!("{name}, {proxies} x {backends}: {}: {} against {}", c.name, c.got, c.bound)
+        })
+        .collect()
+}
+
+/// A value that is one word in JSON.
+fn json_word(value: &impl Serialize) -> String {
+    serde_json::to_value(value).ok().and_then(|v| v.as_str().map(String::from)).unwrap_or_default()
+}
+
 /// Writes figures to a file, the same bytes for the same figures.
 pub fn write_json(path: &Path, figures: &impl Serialize) -> Result<(), Failure> {
     let mut text = serde_json::to_string_pretty(figures).map_err(|e| Failure::run("JSON")(&e))?;
