--- a/scale/src/hollow/backends.rs
+++ b/scale/src/hollow/backends.rs
@@ -15,6 +15,8 @@
 
 /// A backend turns away what comes beyond so many at once.
 const MOST_AT_ONCE: u32 = 64;
+/// Requests that a backend serves at full speed.
+const CORES: f64 = 2.0;
 /// Time until a proxy hears that its attempt was turned away or met nobody.
 const TURN_AWAY: Micros = Micros(1_000);
 
@@ -147,9 +149,9 @@
             }
         }
         b.in_service += 1;
-        // A shared processor, as of the moment of arrival.
-        let work: f64 = Exp1.sample(&mut self.random);
-        let crowd = f64::from(b.in_service);
+        // Half of the work is the same in all requests. Shared processors, as of the moment of arrival.
+        let chance: f64 = Exp1.sample(&mut self.random);
+        let (work, crowd) = (0.5 + 0.5 * chance, (f64::from(b.in_service) / CORES).max(1.0));
         let secs = KINDS[b.kind].service_secs * self.slowdown * work * crowd / b.warmth(now);
         let end = now + Micros::from_secs(secs).max(Micros(1));
         self.flights.insert(name, Flight { backend, process: b.process });
--- a/scale/src/hollow/figures.rs
+++ b/scale/src/hollow/figures.rs
@@ -119,6 +119,14 @@
     pub checks: Vec<Check>,
 }
 
+impl Figures {
+    /// Served requests of all that ended and were not cut.
+    pub fn served_part(&self) -> f64 {
+        let ended = self.requests.came.saturating_sub(self.requests.cut + self.open_at_end);
+        self.requests.served as f64 / ended.max(1) as f64
+    }
+}
+
 /// Least part of the requests that is served.
 const SERVED: f64 = 0.98;
 /// What loads inside a kind may spread beyond chance, as a part of the mean.
@@ -129,8 +137,7 @@
     let most = |name, got: f64, bound: f64| Check { name, holds: got <= bound, got, bound };
     let c = &figures.requests;
     let ends = c.served + c.refused + c.failed + c.unanswered + c.cut + figures.open_at_end;
-    let ended = (c.came - c.cut - figures.open_at_end).max(1) as f64;
-    let served = c.served as f64 / ended;
+    let served = figures.served_part();
     let excess = figures.load.kinds.iter().filter(|k| k.mean >= 1.0).map(|k| k.excess_spread);
     vec![
         most("requests that ended in no way, or twice", c.came.abs_diff(ends) as f64, 0.0),
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -106,7 +106,7 @@
             format!("{} x {}", f.setup.proxies, f.setup.backends),
             json_word(&f.setup.scenario),
             format!("{} ({:.1})", c.came, f.setup.per_s),
-            format!("{:.2}", 100.0 * c.served as f64 / c.came.max(1) as f64),
+            format!("{:.2}", 100.0 * f.served_part()),
             format!("{} / {} / {} / {}", c.refused, c.failed, c.unanswered, c.cut),
             format!("{:.0} / {:.0}", f.latency_p50_ms, f.latency_p99_ms),
             format!("{:.1} / {:.1}", f.held_p50_ms, f.held_p99_ms),
