--- a/scale/src/real/client.rs
+++ b/scale/src/real/client.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -84,8 +85,45 @@
 pub struct Seen {
     /// Time beyond the backend's own, us, of served requests.
     pub added: Histogram<u64>,
-    /// Answers other than 200, and requests without an answer.
-    pub not_served: u64,
+    /// Requests that were not served.
+    pub not_served: NotServed,
+}
+
+/// What became of requests that were not served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct NotServed {
+    /// Refused: 429 or 503.
+    pub refused: u64,
+    /// Failed: another answer.
+    pub failed: u64,
+    /// Without an answer.
+    pub broken: u64,
+}
+
+impl Seen {
+    fn new() -> Seen {
+        Seen { added: histogram(), not_served: NotServed::default() }
+    }
+
+    /// Adds what was seen at another time.
+    pub fn add(&mut self, more: &Seen) -> Result<(), Failure> {
+        self.not_served.refused += more.not_served.refused;
+        self.not_served.failed += more.not_served.failed;
+        self.not_served.broken += more.not_served.broken;
+        self.added.add(&more.added).map_err(|e| Failure::run("the times of both halves")(&e))
+    }
+}
+
+/// Why a request was not served.
+enum Unserved {
+    Status(StatusCode),
+    Broken(String),
+}
+
+impl From<String> for Unserved {
+    fn from(text: String) -> Unserved {
+        Unserved::Broken(text)
+    }
 }
 
 /// What the clients share.
@@ -109,7 +147,7 @@
     /// A load on that proxy at so many requests a second.
     pub fn new(proxy: SocketAddr, per_s: f64, tenants: usize, seed: u64) -> Result<Load, Failure> {
         let gaps = Exp::new(per_s).map_err(|e| Failure::Input(format!("rate {per_s}: {e}")))?;
-        let seen = Mutex::new(Seen { added: histogram(), not_served: 0 });
+        let seen = Mutex::new(Seen::new());
         let clients = Arc::new(Clients { proxy, idle: Mutex::default(), seen });
         let random = Pcg64Mcg::seed_from_u64(seed);
         Ok(Load { clients, random, gaps, tenants, next: Instant::now(), sent: 0 })
@@ -128,8 +166,7 @@
             tokio::spawn(self.clients.clone().ask(self.random.random(), tenant));
         }
         tokio::time::sleep_until(end.into()).await;
-        let fresh = Seen { added: histogram(), not_served: 0 };
-        std::mem::replace(&mut *self.clients.seen.lock().expect("no holder panics"), fresh)
+        std::mem::replace(&mut *self.clients.seen.lock().expect("no holder panics"), Seen::new())
     }
 }
 
@@ -139,14 +176,18 @@
         let mut seen = self.seen.lock().expect("no holder panics");
         match answer {
             Ok(added) => seen.added.saturating_record(added.as_micros() as u64),
-            Err(text) => {
-                tracing::debug!("not served: {text}");
-                seen.not_served += 1;
+            Err(Unserved::Status(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)) => {
+                seen.not_served.refused += 1
+            }
+            Err(Unserved::Status(_)) => seen.not_served.failed += 1,
+            Err(Unserved::Broken(text)) => {
+                tracing::debug!("no answer: {text}");
+                seen.not_served.broken += 1;
             }
         }
     }
 
-    async fn try_ask(&self, id: u64, tenant: Option<usize>) -> Result<Duration, String> {
+    async fn try_ask(&self, id: u64, tenant: Option<usize>) -> Result<Duration, Unserved> {
         let idle = self.idle.lock().expect("no holder panics").pop();
         let mut sender = match idle.filter(Sender::is_ready) {
             Some(sender) => sender,
@@ -168,10 +209,10 @@
         let took = sent.elapsed();
         self.idle.lock().expect("no holder panics").push(sender);
         if status != StatusCode::OK {
-            return Err(format!("status {status}"));
+            return Err(Unserved::Status(status));
         }
         let service = std::str::from_utf8(&body).ok().and_then(|text| text.parse().ok());
-        let service = service.ok_or("a body that no backend wrote")?;
+        let service = service.ok_or("a body that no backend wrote".to_string())?;
         Ok(took.saturating_sub(Duration::from_micros(service)))
     }
 }
--- a/scale/src/real/mod.rs
+++ b/scale/src/real/mod.rs
@@ -8,7 +8,7 @@
 use crate::failure::Failure;
 use crate::world::{self, Deployment, Mode, TARGET_PROXIES};
 use backends::Backends;
-use client::{Load, Trip};
+use client::{Load, NotServed, Trip};
 use discovery::Discovery;
 use process::{Proxy, Usage};
 use serde::Serialize;
@@ -81,6 +81,9 @@
     pub cpu_load_percent: f64,
     /// How long that was measured, s.
     pub load_secs: f64,
+    /// Time without a core because the machine was busy with other work, % of the time: when idle, under the load
+    /// and under the probes. Where this is much, times and stalls are not the proxy's own.
+    pub waited_percent: [f64; 3],
     /// Bytes from discovery until ready and settled, heads included.
     pub list_bytes: u64,
     /// Bytes a second from discovery when nothing changes.
@@ -92,7 +95,7 @@
     /// Requests that reached backends under the load.
     pub requests: u64,
     /// Requests that were not served.
-    pub not_served: u64,
+    pub not_served: NotServed,
     /// New connections to backends a request, in each half of the load.
     pub new_connections: [f64; 2],
     /// Time beyond the backend's own, ms: median.
@@ -191,10 +194,7 @@
         let (opened, asked) = (backends.connections() - before.0, backends.requests() - before.1);
         *per_request = opened as f64 / asked.max(1) as f64;
         match &mut seen {
-            Some(seen) => {
-                seen.not_served += half.not_served;
-                seen.added.add(&half.added).map_err(|e| Failure::run("the times of both halves")(&e))?;
-            }
+            Some(seen) => seen.add(&half)?,
             None => seen = Some(half),
         }
     }
@@ -242,6 +242,11 @@
         idle_secs: secs(&idle, &settled),
         cpu_load_percent: loaded.core_percent_since(&idle),
         load_secs: secs(&loaded, &idle),
+        waited_percent: [
+            idle.waited_percent_since(&settled),
+            loaded.waited_percent_since(&idle),
+            end.waited_percent_since(&loaded),
+        ],
         list_bytes,
         idle_bytes_per_s: (idle_bytes - list_bytes) as f64 / secs(&idle, &settled),
         change_bytes,
--- a/scale/src/real/process.rs
+++ b/scale/src/real/process.rs
@@ -27,6 +27,8 @@
     pub hwm_kb: u64,
     /// Processor time so far, s, in the system's steps of mostly 0.01 s.
     pub cpu_secs: f64,
+    /// Time so far in which it could have run and had no core, s: the machine was busy with other work.
+    pub waited_secs: f64,
     /// When it was read.
     pub at: Instant,
 }
@@ -36,6 +38,11 @@
     pub fn core_percent_since(&self, earlier: &Usage) -> f64 {
         100.0 * (self.cpu_secs - earlier.cpu_secs) / (self.at - earlier.at).as_secs_f64()
     }
+
+    /// Time without a core since an earlier reading, % of the time.
+    pub fn waited_percent_since(&self, earlier: &Usage) -> f64 {
+        100.0 * (self.waited_secs - earlier.waited_secs) / (self.at - earlier.at).as_secs_f64()
+    }
 }
 
 impl Proxy {
@@ -84,6 +91,8 @@
         rss_kb: status.vmrss.unwrap_or(0),
         hwm_kb: status.vmhwm.unwrap_or(0),
         cpu_secs: (stat.utime + stat.stime) as f64 / procfs::ticks_per_second() as f64,
+        // Of its first thread, which is the proxy's only one.
+        waited_secs: process.schedstat().map_or(0.0, |s| s.run_delay as f64 / 1e9),
         at: Instant::now(),
     })
 }
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -47,7 +47,8 @@
         "new connections a request (1st, 2nd half)",
         "added p50 / p99 / longest, ms",
         "stall of the data path: none / change / whole list, ms, median of 5 (longest)",
-        "requests, not served",
+        "requests sent on; refused / failed / broken",
+        "without a core idle / load / probes, % of the time",
     ]);
     for c in cells {
         table.row(vec![
@@ -66,7 +67,11 @@
             [c.stall_plain, c.stall_change, c.stall_whole]
                 .map(|s| format!("{:.1} ({:.1})", s.median_ms, s.longest_ms))
                 .join(" / "),
-            format!("{}, {}", c.requests, c.not_served),
+            format!(
+                "{}; {} / {} / {}",
+                c.requests, c.not_served.refused, c.not_served.failed, c.not_served.broken
+            ),
+            c.waited_percent.map(|p| format!("{p:.2}")).join(" / "),
         ]);
     }
     table
