--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -1,6 +1,16 @@
 //! Hollow proxies: the decision module, many to a process, on a simulated clock. They share nothing but the
 //! world around them, which moves in steps: in each, all proxies take their turn side by side, then what they
 //! did reaches the world in the order of their numbers. So the number of threads changes no figure.
+//!
+//! Simpler than the real thing, so that figures are read with care:
+//! - A backend has two processors and works on all it holds at once; an attempt's time is set as it arrives, by
+//!   its work, by how many are there then and by how warm the backend is. It turns away what comes beyond 64.
+//! - An attempt reaches its backend at once and without a handshake; connections are only counted, one kept for
+//!   each backend that a proxy visited, whatever [`beechworks::Action::Keep`] says.
+//! - Attempts on a backend that dies end as resets when they would have been served.
+//! - A watch in place is renewed at no cost; discovery's time goes into calls after a start or a failure.
+//! - Cold backends that get more than they bear are counted and go on.
+//! - Clients wait 2 s, send one class that is free to repeat, and never come again by themselves.
 
 pub mod backends;
 pub mod discovery;
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -30,7 +30,8 @@
     let setups = args.setups()?;
     let cells = real::run_all(setups, args.jobs)?;
     print!("{}", report::real_table(&cells));
-    args.json.iter().try_for_each(|file| report::write_json(file, &cells))
+    args.json.iter().try_for_each(|file| report::write_json(file, &cells))?;
+    judge(&report::failed_cells(&cells))
 }
 
 fn play(args: &FleetArgs) -> Result<Vec<(Figures, Cost)>, Failure> {
@@ -48,8 +49,7 @@
 }
 
 /// Failed checks end the command with 1, after its tables.
-fn judge(runs: &[(Figures, Cost)]) -> Result<(), Failure> {
-    let failed = report::failed_checks(runs);
+fn judge(failed: &[String]) -> Result<(), Failure> {
     failed.iter().for_each(|line| println!("check failed: {line}"));
     match failed.len() {
         0 => Ok(()),
@@ -62,7 +62,7 @@
     print!("{}", report::fleet_table(&runs));
     let figures: Vec<&Figures> = runs.iter().map(|r| &r.0).collect();
     args.json.iter().try_for_each(|file| report::write_json(file, &figures))?;
-    judge(&runs)
+    judge(&report::failed_fleets(&runs))
 }
 
 fn run_all(args: &AllArgs) -> Result<(), Failure> {
@@ -79,5 +79,5 @@
     let costs: Vec<&Cost> = runs.iter().map(|r| &r.1).collect();
     let figures = serde_json::json!({"real": cells, "fleets": fleets, "costs": costs});
     args.json.iter().try_for_each(|file| report::write_json(file, &figures))?;
-    judge(&runs)
+    judge(&[report::failed_cells(&cells), report::failed_fleets(&runs)].concat())
 }
--- a/scale/src/real/mod.rs
+++ b/scale/src/real/mod.rs
@@ -1,8 +1,8 @@
 //! The real proxy beside stand-ins: what it costs at a size.
 
-mod backends;
-mod client;
-mod discovery;
+pub mod backends;
+pub mod client;
+pub mod discovery;
 pub mod process;
 
 use crate::failure::Failure;
@@ -135,7 +135,8 @@
 }
 
 impl Stall {
-    fn of(trips: &[Trip], events: &[Instant]) -> Stall {
+    /// The stalls around events.
+    pub fn of(trips: &[Trip], events: &[Instant]) -> Stall {
         let near = |at: &Instant| {
             let hit = |t: &&Trip| t.0 + t.1 >= *at && t.0 < *at + AFTER;
             trips.iter().filter(hit).map(|t| t.1.as_secs_f64() * 1000.0).fold(0.0, f64::max)
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -145,8 +145,23 @@
     table
 }
 
-/// The checks that failed, one a line.
-pub fn failed_checks(runs: &[(Figures, Cost)]) -> Vec<String> {
+/// A restarted proxy has to be ready within this time, s.
+const READY_WITHIN_SECS: f64 = 10.0;
+
+/// The checks on cells that failed, one a line. What is refused or late is a figure: it may be the machine's.
+pub fn failed_cells(cells: &[Cell]) -> Vec<String> {
+    let check = |c: &Cell| {
+        let cell = format!("{} backends x {} tenants", c.backends, c.tenants);
+        let late = c.ready_secs > READY_WITHIN_SECS;
+        let late = late.then(|| format!("{cell}: ready after {:.2} s", c.ready_secs));
+        let broken = c.not_served.broken;
+        late.into_iter().chain((broken > 0).then(|| format!("{cell}: {broken} requests without an answer")))
+    };
+    cells.iter().flat_map(check).collect()
+}
+
+/// The checks on fleets that failed, one a line.
+pub fn failed_fleets(runs: &[(Figures, Cost)]) -> Vec<String> {
     let failed = runs.iter().flat_map(|(f, _)| f.checks.iter().filter(|c| !c.holds).map(move |c| (f, c)));
     failed
         .map(|(f, c)| {
