--- a/scale/src/args.rs
+++ b/scale/src/args.rs
@@ -83,7 +83,7 @@
 #[derive(Clone, Debug, Args)]
 pub struct FleetArgs {
     /// What happens; more than one make more runs.
-    #[arg(long, value_enum, value_delimiter = ',', default_value = "calm,outage,cold,release")]
+    #[arg(long, value_enum, value_delimiter = ',', default_value = "calm,outage,cold,release,rebirth")]
     pub scenario: Vec<Scenario>,
     /// How many proxies there are.
     #[arg(long, default_value_t = 30)]
@@ -283,8 +283,8 @@
     /// The fleets: the target's size as long as the time allows, and all scenarios at smaller ones. The largest is
     /// first: only the first tells its memory.
     pub fn fleets(&self) -> Vec<FleetArgs> {
-        use Scenario::{Calm, Cold, Outage, Release};
-        let all = vec![Calm, Outage, Cold, Release];
+        use Scenario::{Calm, Cold, Outage, Rebirth, Release};
+        let all = vec![Calm, Outage, Cold, Release, Rebirth];
         let sizes: Vec<(u32, usize, f64, Vec<Scenario>)> = if self.quick {
             vec![(300, 4_640, 8.0, vec![Calm]), (30, 464, 24.0, all)]
         } else {
--- a/scale/src/hollow/backends.rs
+++ b/scale/src/hollow/backends.rs
@@ -202,7 +202,7 @@
         }
         b.recent.retain(|at| now - *at < Micros(FALL_MICROS));
         b.recent.push_back(now);
-        let speed = self.frailty / KINDS[b.kind].service_secs;
+        let speed = self.frailty * CORES / KINDS[b.kind].service_secs;
         let budget = FALL_MULTIPLE * warmth * speed * FALL_MICROS as f64 / 1e6;
         let bound = budget + 2.0 * budget.sqrt() + 2.0;
         let part = b.recent.len() as f64 / bound;
@@ -213,6 +213,12 @@
         }
     }
 
+    /// The newest list: what is gone is not on it.
+    pub fn list(&self) -> Vec<beechworks::Backend> {
+        let here = self.all.iter().enumerate().filter(|(_, b)| b.state != BackendState::Gone);
+        here.map(|(i, b)| world::entry(i, b.state, b.booted)).collect()
+    }
+
     /// What cold backends got.
     pub fn cold(&self) -> Cold {
         self.cold
--- a/scale/src/hollow/mod.rs
+++ b/scale/src/hollow/mod.rs
@@ -239,12 +239,13 @@
         }
         if self.timeline.restart.is_some_and(|at| at <= now) {
             self.timeline.restart = None;
+            let held = if self.timeline.old_list { 0 } else { self.discovery.changed().count() };
+            let newest = Arc::new(self.backends.list());
             for proxy in 0..self.setup.proxies {
                 let out = self.proxies[proxy as usize].restart(self.setup.seed, 1);
                 out.map_err(Failure::Check)?.into_iter().for_each(|name| self.backends.cancel(name));
-                // The old list is the one from before all changes.
-                self.discovery.restarted(now, proxy, 0);
-                let list = self.list_of(proxy);
+                let list = if self.timeline.old_list { self.list_of(proxy) } else { newest.clone() };
+                self.discovery.restarted(now, proxy, held);
                 self.proxies[proxy as usize].deliver(now, Inbound::Members(ListUpdate::Cached, list));
             }
         }
--- a/scale/src/hollow/scenario.rs
+++ b/scale/src/hollow/scenario.rs
@@ -21,6 +21,8 @@
     Cold,
     /// All proxies restart at once with an old list.
     Release,
+    /// All proxies restart at once, with a list that tells of a rack that comes back cold in that moment.
+    Rebirth,
 }
 
 /// Discovery is down for so long.
@@ -42,6 +44,8 @@
     pub outage: Option<(Time, Time)>,
     /// When all proxies restart.
     pub restart: Option<Time>,
+    /// Their list is the one from before all changes, not the newest.
+    pub old_list: bool,
 }
 
 impl Scenario {
@@ -51,7 +55,7 @@
             Scenario::Calm => 0.5,
             Scenario::Outage => 16.0,
             Scenario::Cold => 10.0,
-            Scenario::Release => 10.0,
+            Scenario::Release | Scenario::Rebirth => 10.0,
         }
     }
 
@@ -92,7 +96,7 @@
                     line.changes.extend(some(&mut random).into_iter().map(drain));
                 }
             }
-            Scenario::Cold => {
+            Scenario::Cold | Scenario::Rebirth => {
                 let fails = from + Micros(1_000_000);
                 let back = fails + RACK_AWAY;
                 // A rack stands in one zone.
@@ -100,11 +104,12 @@
                     line.changes.push(change(fails, backend, BackendState::Gone, None));
                     line.changes.push(change(back, backend, BackendState::Ready, Some(back)));
                 }
+                line.restart = (self == Scenario::Rebirth).then_some(back);
             }
             Scenario::Release => {
                 let drain = |b| change(from, b, BackendState::Draining, None);
                 line.changes.extend(some(&mut random).into_iter().map(drain));
-                line.restart = Some(from + Micros(3_000_000));
+                (line.restart, line.old_list) = (Some(from + Micros(3_000_000)), true);
             }
         }
         line.changes.sort_by_key(|c| (c.at, c.backend));
