--- a/scale/src/real/backends.rs
+++ b/scale/src/real/backends.rs
@@ -10,7 +10,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
@@ -75,10 +75,40 @@
     }
 }
 
-/// Answers with the microseconds that it took, so that the client can take them out.
+/// When a backend took a request and how long it had it: the body of its answer, so that the client can tell the
+/// proxy's time from the backend's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stamp {
+    /// The request's last byte was there, on the clock of [`since_start`].
+    pub came: Duration,
+    /// From then to the answer.
+    pub took: Duration,
+}
+
+/// Time on a clock that all stand-ins of this process share.
+pub fn since_start() -> Duration {
+    static START: LazyLock<Instant> = LazyLock::new(Instant::now);
+    START.elapsed()
+}
+
+impl Stamp {
+    /// As it stands in the body.
+    pub fn text(&self) -> String {
+        format!("{},{}", self.came.as_micros(), self.took.as_micros())
+    }
+
+    /// Reads it back; `None` where no backend wrote it.
+    pub fn read(body: &[u8]) -> Option<Stamp> {
+        let (came, took) = std::str::from_utf8(body).ok()?.split_once(',')?;
+        let [came, took] = [came, took].map(|text| text.parse().ok().map(Duration::from_micros));
+        Some(Stamp { came: came?, took: took? })
+    }
+}
+
 async fn serve(request: Request<Incoming>, service: Duration) -> Response<Full<Bytes>> {
-    let came = Instant::now();
     let _ = request.into_body().collect().await;
-    tokio::time::sleep(service.saturating_sub(came.elapsed())).await;
-    Response::new(Full::new(came.elapsed().as_micros().to_string().into()))
+    let came = since_start();
+    tokio::time::sleep(service).await;
+    let stamp = Stamp { came, took: since_start() - came };
+    Response::new(Full::new(stamp.text().into()))
 }
--- a/scale/src/real/client.rs
+++ b/scale/src/real/client.rs
@@ -1,5 +1,6 @@
 //! An open-loop client over kept connections, and a probe of the data path.
 
+use super::backends::{since_start, Stamp};
 use crate::failure::Failure;
 use crate::world::tenant_name;
 use bytes::Bytes;
@@ -85,6 +86,10 @@
 pub struct Seen {
     /// Time beyond the backend's own, us, of served requests.
     pub added: Histogram<u64>,
+    /// The part of it until the backend had the request.
+    pub before: Histogram<u64>,
+    /// The part of it after the backend's answer.
+    pub after: Histogram<u64>,
     /// Requests that were not served.
     pub not_served: NotServed,
 }
@@ -102,7 +107,7 @@
 
 impl Seen {
     fn new() -> Seen {
-        Seen { added: histogram(), not_served: NotServed::default() }
+        Seen { added: histogram(), before: histogram(), after: histogram(), not_served: NotServed::default() }
     }
 
     /// Adds what was seen at another time.
@@ -110,7 +115,10 @@
         self.not_served.refused += more.not_served.refused;
         self.not_served.failed += more.not_served.failed;
         self.not_served.broken += more.not_served.broken;
-        self.added.add(&more.added).map_err(|e| Failure::run("the times of both halves")(&e))
+        [(&mut self.added, &more.added), (&mut self.before, &more.before), (&mut self.after, &more.after)]
+            .into_iter()
+            .try_for_each(|(sum, part)| sum.add(part))
+            .map_err(|e| Failure::run("the times of both halves")(&e))
     }
 }
 
@@ -175,7 +183,12 @@
         let answer = self.try_ask(id, tenant).await;
         let mut seen = self.seen.lock().expect("no holder panics");
         match answer {
-            Ok(added) => seen.added.saturating_record(added.as_micros() as u64),
+            Ok([before, after]) => {
+                let [before, after] = [before, after].map(|span| span.as_micros() as u64);
+                seen.added.saturating_record(before + after);
+                seen.before.saturating_record(before);
+                seen.after.saturating_record(after);
+            }
             Err(Unserved::Status(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)) => {
                 seen.not_served.refused += 1
             }
@@ -187,7 +200,7 @@
         }
     }
 
-    async fn try_ask(&self, id: u64, tenant: Option<usize>) -> Result<Duration, Unserved> {
+    async fn try_ask(&self, id: u64, tenant: Option<usize>) -> Result<[Duration; 2], Unserved> {
         let idle = self.idle.lock().expect("no holder panics").pop();
         let mut sender = match idle.filter(Sender::is_ready) {
             Some(sender) => sender,
@@ -202,17 +215,16 @@
             request = request.header("x-account", tenant_name(tenant));
         }
         let request = request.body(Empty::new()).map_err(|e| e.to_string())?;
-        let sent = Instant::now();
+        let sent = since_start();
         let answer = sender.send_request(request).await.map_err(|e| e.to_string())?;
         let status = answer.status();
         let body = answer.into_body().collect().await.map_err(|e| e.to_string())?.to_bytes();
-        let took = sent.elapsed();
+        let done = since_start();
         self.idle.lock().expect("no holder panics").push(sender);
         if status != StatusCode::OK {
             return Err(Unserved::Status(status));
         }
-        let service = std::str::from_utf8(&body).ok().and_then(|text| text.parse().ok());
-        let service = service.ok_or("a body that no backend wrote".to_string())?;
-        Ok(took.saturating_sub(Duration::from_micros(service)))
+        let stamp = Stamp::read(&body).ok_or("a body that no backend wrote".to_string())?;
+        Ok([stamp.came.saturating_sub(sent), done.saturating_sub(stamp.came + stamp.took)])
     }
 }
--- a/scale/src/real/mod.rs
+++ b/scale/src/real/mod.rs
@@ -104,6 +104,10 @@
     pub added_p99_ms: f64,
     /// The longest, ms.
     pub added_max_ms: f64,
+    /// The part of it until the backend had the request, holding and connecting included, ms: median and 99 in 100.
+    pub before_ms: [f64; 2],
+    /// The part of it after the backend's answer, ms: median and 99 in 100.
+    pub after_ms: [f64; 2],
     /// Stall of the data path under load when nothing comes.
     pub stall_plain: Stall,
     /// The same when one entry changes.
@@ -258,6 +262,8 @@
         added_p50_ms: ms(seen.added.value_at_quantile(0.5)),
         added_p99_ms: ms(seen.added.value_at_quantile(0.99)),
         added_max_ms: ms(seen.added.max()),
+        before_ms: [0.5, 0.99].map(|part| ms(seen.before.value_at_quantile(part))),
+        after_ms: [0.5, 0.99].map(|part| ms(seen.after.value_at_quantile(part))),
         stall_plain: plain.0,
         stall_change: changed.0,
         stall_whole: whole.0,
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -46,6 +46,7 @@
         "idle, bytes/s",
         "new connections a request (1st, 2nd half)",
         "added p50 / p99 / longest, ms",
+        "of it before the backend had it, and after its answer: p50 / p99, ms",
         "stall of the data path: none / change / whole list, ms, median of 5 (longest)",
         "requests sent on; refused / failed / broken",
         "without a core idle / load / probes, % of the time",
@@ -64,6 +65,7 @@
             format!("{:.0}", c.idle_bytes_per_s),
             format!("{:.2}, {:.2}", c.new_connections[0], c.new_connections[1]),
             format!("{:.2} / {:.2} / {:.1}", c.added_p50_ms, c.added_p99_ms, c.added_max_ms),
+            [c.before_ms, c.after_ms].map(|[p50, p99]| format!("{p50:.2} / {p99:.2}")).join(", "),
             [c.stall_plain, c.stall_change, c.stall_whole]
                 .map(|s| format!("{:.1} ({:.1})", s.median_ms, s.longest_ms))
                 .join(" / "),
--- a/scale/tests/stand_ins.rs
+++ b/scale/tests/stand_ins.rs
@@ -1,6 +1,6 @@
 //! The stand-ins themselves, without a proxy between them.
 
-use brookstack_scale::real::backends::Backends;
+use brookstack_scale::real::backends::{Backends, Stamp};
 use brookstack_scale::real::client::Load;
 use brookstack_scale::real::discovery::Discovery;
 use brookstack_scale::real::Stall;
@@ -74,6 +74,16 @@
     assert!(backends.connections() <= answered / 4, "{} connections", backends.connections());
     let median = Duration::from_micros(seen.added.value_at_quantile(0.5));
     assert!(median < service / 2, "{median:?} beside the backend's {service:?}");
+    assert_eq!((seen.before.len(), seen.after.len()), (answered, answered));
+}
+
+#[test]
+fn a_stamp_is_read_as_it_was_written_and_nothing_else_is() {
+    let stamp = Stamp { came: Duration::from_micros(1_234_567), took: Duration::from_micros(5_021) };
+    assert_eq!(Stamp::read(stamp.text().as_bytes()), Some(stamp));
+    for body in ["", "refused", "12", "12,", "12,x", ",5"] {
+        assert_eq!(Stamp::read(body.as_bytes()), None, "{body}");
+    }
 }
 
 #[test]
