--- a/scale/src/hollow/proxy.rs
+++ b/scale/src/hollow/proxy.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::sync::Arc;
 
 /// How long a client waits.
@@ -143,8 +143,9 @@
     gaps: Exp<f64>,
     next_arrival: Time,
     next_request: u64,
-    inbox: BinaryHeap<Reverse<(Time, u64, Box<Slot>)>>,
-    taken: u64,
+    /// What will reach it when, numbered in the order in which it was sent.
+    inbox: BTreeMap<(Time, u64), Inbound>,
+    delivered: u64,
     timers: BinaryHeap<Reverse<(Time, TimerToken)>>,
     open: HashMap<RequestId, Open>,
     /// All clients wait equally long: deadlines come in the order of arrival.
@@ -163,26 +164,6 @@
     pub connections: Connections,
 }
 
-/// An [`Inbound`] beside an order that does not depend on it.
-struct Slot(Inbound);
-
-impl PartialEq for Slot {
-    fn eq(&self, _: &Slot) -> bool {
-        true
-    }
-}
-impl Eq for Slot {}
-impl PartialOrd for Slot {
-    fn partial_cmp(&self, other: &Slot) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Slot {
-    fn cmp(&self, _: &Slot) -> std::cmp::Ordering {
-        std::cmp::Ordering::Equal // the number before it is never the same
-    }
-}
-
 /// The seed of one process of a proxy.
 fn seed(fleet: u64, number: u32, process: u32) -> u64 {
     fleet.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (u64::from(number) << 20) ^ u64::from(process)
@@ -203,8 +184,8 @@
             clients,
             gaps,
             next_request: 0,
-            inbox: BinaryHeap::new(),
-            taken: 0,
+            inbox: BTreeMap::new(),
+            delivered: 0,
             timers: BinaryHeap::new(),
             open: HashMap::new(),
             deadlines: VecDeque::new(),
@@ -220,8 +201,8 @@
 
     /// Something that will reach it at that time.
     pub fn deliver(&mut self, at: Time, what: Inbound) {
-        self.taken += 1;
-        self.inbox.push(Reverse((at, self.taken, Box::new(Slot(what)))));
+        self.delivered += 1;
+        self.inbox.insert((at, self.delivered), what);
     }
 
     /// The process ends and another begins in the same moment; its clients stay. Tells what was out.
@@ -257,7 +238,7 @@
         let front = |queue: &VecDeque<(Time, RequestId)>| queue.front().is_some_and(|d| d.0 <= now);
         !self.carried.is_empty()
             || self.next_arrival <= now
-            || self.inbox.peek().is_some_and(|i| i.0 .0 <= now)
+            || self.inbox.first_key_value().is_some_and(|i| i.0 .0 <= now)
             || self.timers.peek().is_some_and(|t| t.0 .0 <= now)
             || front(&self.deadlines)
             || front(&self.overdue)
@@ -289,7 +270,7 @@
     /// Arrivals and what reached it, in the order of their times.
     fn take_in(&mut self, now: Time, events: &mut Vec<Event>) {
         loop {
-            let next = self.inbox.peek().map_or(Time(u64::MAX), |i| i.0 .0);
+            let next = self.inbox.first_key_value().map_or(Time(u64::MAX), |i| i.0 .0);
             if next.min(self.next_arrival) > now {
                 return;
             }
@@ -297,8 +278,8 @@
                 events.push(self.arrival(now));
                 continue;
             }
-            let Some(Reverse((at, _, slot))) = self.inbox.pop() else { return };
-            match slot.0 {
+            let Some(((at, _), what)) = self.inbox.pop_first() else { return };
+            match what {
                 Inbound::Ended(request, attempt, outcome) => {
                     events.extend(self.ended(at, request, attempt, outcome))
                 }
