--- a/scale/src/real/mod.rs
+++ b/scale/src/real/mod.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
+use tokio::signal::unix::{signal, SignalKind};
 
 /// What a cell is run with.
 #[derive(Clone, Debug)]
@@ -159,21 +160,32 @@
 pub fn run_all(setups: Vec<Setup>, jobs: usize) -> Result<Vec<Cell>, Failure> {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(THREADS).enable_all().build();
     let runtime = runtime.map_err(|e| Failure::run("the stand-ins' threads")(&e))?;
+    // Told to end, it still ends the proxies that it has started: they go with the cells' tasks.
     runtime.block_on(async {
-        let mut cells = Vec::new();
-        for batch in setups.chunks(jobs.max(1)) {
-            let running: Vec<_> =
-                batch.iter().cloned().map(|s| tokio::spawn(async move { run(&s).await })).collect();
-            for cell in running {
-                let cell = cell.await.map_err(|e| Failure::run("a cell")(&e))??;
-                tracing::info!(backends = cell.backends, tenants = cell.tenants, "cell done");
-                cells.push(cell);
-            }
+        let terminated = signal(SignalKind::terminate());
+        let mut terminated = terminated.map_err(|e| Failure::run("SIGTERM")(&e))?;
+        tokio::select! {
+            cells = batches(setups, jobs) => cells,
+            _ = tokio::signal::ctrl_c() => Err(Failure::Check("interrupted".into())),
+            _ = terminated.recv() => Err(Failure::Check("terminated".into())),
         }
-        Ok(cells)
     })
 }
 
+async fn batches(setups: Vec<Setup>, jobs: usize) -> Result<Vec<Cell>, Failure> {
+    let mut cells = Vec::new();
+    for batch in setups.chunks(jobs.max(1)) {
+        let running: Vec<_> =
+            batch.iter().cloned().map(|s| tokio::spawn(async move { run(&s).await })).collect();
+        for cell in running {
+            let cell = cell.await.map_err(|e| Failure::run("a cell")(&e))??;
+            tracing::info!(backends = cell.backends, tenants = cell.tenants, "cell done");
+            cells.push(cell);
+        }
+    }
+    Ok(cells)
+}
+
 fn mb(kb: u64) -> f64 {
     kb as f64 / 1024.0
 }
