--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -30,10 +30,18 @@
     let setups = args.setups()?;
     let cells = real::run_all(setups, args.jobs)?;
     print!("{}", report::real_table(&cells));
+    tell_spoilt(&cells);
     args.json.iter().try_for_each(|file| report::write_json(file, &cells))?;
     judge(&report::failed_cells(&cells))
 }
 
+/// Figures from a busy machine stay in the table, and are named.
+fn tell_spoilt(cells: &[real::Cell]) {
+    for line in report::spoilt_cells(cells) {
+        println!("busy machine, measure its times and stalls again: {line}");
+    }
+}
+
 fn play(args: &FleetArgs) -> Result<Vec<(Figures, Cost)>, Failure> {
     let run = |setup: hollow::Setup| {
         let played = hollow::run(&setup, args.threads)?;
@@ -74,6 +82,7 @@
     }
     let cells = real::run_all(setups, real_args.jobs)?;
     println!("The real proxy beside stand-ins:\n\n{}", report::real_table(&cells));
+    tell_spoilt(&cells);
     println!("Hollow proxies on a simulated clock:\n\n{}", report::fleet_table(&runs));
     let fleets: Vec<&Figures> = runs.iter().map(|r| &r.0).collect();
     let costs: Vec<&Cost> = runs.iter().map(|r| &r.1).collect();
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -162,6 +162,19 @@
     cells.iter().flat_map(check).collect()
 }
 
+/// More time than this without a core, % of the time, and a cell's times and stalls are the machine's.
+const BUSY_PERCENT: f64 = 1.0;
+
+/// The cells that a busy machine has spoilt, one a line.
+pub fn spoilt_cells(cells: &[Cell]) -> Vec<String> {
+    let spoilt = |c: &&Cell| c.waited_percent.iter().any(|p| *p > BUSY_PERCENT);
+    let line = |c: &Cell| {
+        let waited = c.waited_percent.map(|p| format!("{p:.2}")).join(" / ");
+        format!("{} backends x {} tenants: without a core for {waited} % of the time", c.backends, c.tenants)
+    };
+    cells.iter().filter(spoilt).map(line).collect()
+}
+
 /// The checks on fleets that failed, one a line.
 pub fn failed_fleets(runs: &[(Figures, Cost)]) -> Vec<String> {
     let failed = runs.iter().flat_map(|(f, _)| f.checks.iter().filter(|c| !c.holds).map(move |c| (f, c)));
--- /dev/null
+++ b/scale/tests/report.rs
@@ -0,0 +1,68 @@
+//! What is said of figures beside the tables.
+
+use brookstack_scale::real::client::NotServed;
+use brookstack_scale::real::{Cell, Stall};
+use brookstack_scale::report::{failed_cells, spoilt_cells, Table};
+use brookstack_scale::world::Mode;
+
+fn cell() -> Cell {
+    let still = Stall { median_ms: 1.0, longest_ms: 2.0 };
+    Cell {
+        backends: 200,
+        tenants: 7,
+        mode: Mode::Automatic,
+        known: false,
+        per_s: 70.0,
+        ready_secs: 0.1,
+        rss_start_mb: 4.0,
+        hwm_start_mb: 4.0,
+        rss_load_mb: 8.0,
+        hwm_load_mb: 8.0,
+        hwm_end_mb: 9.0,
+        cpu_idle_percent: 0.1,
+        idle_secs: 20.0,
+        cpu_load_percent: 2.0,
+        load_secs: 120.0,
+        waited_percent: [0.0, 0.4, 0.9],
+        list_bytes: 26_080,
+        idle_bytes_per_s: 30.0,
+        change_bytes: 250.0,
+        discovery_calls: 40,
+        requests: 8_400,
+        not_served: NotServed { refused: 3, failed: 2, broken: 0 },
+        new_connections: [0.1, 0.0],
+        added_p50_ms: 1.0,
+        added_p99_ms: 6.0,
+        added_max_ms: 9.0,
+        before_ms: [0.8, 5.5],
+        after_ms: [0.2, 0.5],
+        stall_plain: still,
+        stall_change: still,
+        stall_whole: still,
+        probes: [2_000; 3],
+    }
+}
+
+#[test]
+fn a_cell_fails_when_it_is_ready_late_or_leaves_requests_without_an_answer() {
+    assert_eq!(failed_cells(&[cell()]), Vec::<String>::new());
+    let late = Cell { ready_secs: 10.5, ..cell() };
+    assert_eq!(failed_cells(&[cell(), late]), ["200 backends x 7 tenants: ready after 10.50 s"]);
+    let broken = Cell { not_served: NotServed { broken: 1, ..NotServed::default() }, ..cell() };
+    assert_eq!(failed_cells(&[broken]), ["200 backends x 7 tenants: 1 requests without an answer"]);
+}
+
+#[test]
+fn a_cell_from_a_busy_machine_is_named() {
+    assert_eq!(spoilt_cells(&[cell()]), Vec::<String>::new());
+    let busy = Cell { waited_percent: [0.0, 2.5, 0.0], ..cell() };
+    let line = "200 backends x 7 tenants: without a core for 0.00 / 2.50 / 0.00 % of the time";
+    assert_eq!(spoilt_cells(&[cell(), busy]), [line]);
+}
+
+#[test]
+fn a_table_is_markdown() {
+    let mut table = Table::new(&["a", "b"]);
+    table.row(vec!["1".into(), "2".into()]);
+    assert_eq!(table.to_string(), "| a | b |\n| --- | --- |\n| 1 | 2 |\n");
+}
