--- /dev/null
+++ b/src/bin/gaugesaddle/driver/tests.rs
@@ -0,0 +1,67 @@
+use super::*;
+
+/// A driver that holds one request, as module and backends left it.
+fn driver_with(id: RequestId) -> (Driver, oneshot::Receiver<Answer>, mpsc::UnboundedReceiver<Input>) {
+    let clock = Clock::new();
+    let (inputs, taken) = mpsc::unbounded_channel();
+    let pool = Rc::new(Pool::new(clock, Micros(1_000_000), Micros(1_000_000), 8));
+    let (follow, status) = (Rc::default(), Rc::default());
+    let mut driver =
+        Driver::new(clock, Config::example(), 1, 8, pool, inputs, follow, status).expect("sound");
+    let (reply, answer) = oneshot::channel();
+    let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
+    let deadline = clock.now() + Micros(1_000_000);
+    let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
+    driver.take(Input::Arrived(Arrived { id, class, tenant, deadline, work_hint, repeat, call, reply }));
+    (driver, answer, taken)
+}
+
+/// The news of a drain and the module's wish to send cross inside one tick: the wish ends as never sent, without
+/// so much as a connection.
+#[tokio::test]
+async fn a_dispatch_that_crosses_a_drain_or_an_end_is_never_sent() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.set_nonblocking(true).expect("set");
+    let address = listener.local_addr().expect("its address");
+    for state in [BackendState::Draining, BackendState::Gone] {
+        let id = RequestId(1);
+        let (mut driver, _answer, _taken) = driver_with(id);
+        let mut backend = Backend { id: BackendId(7), state: BackendState::Ready, ..Backend::default() };
+        let target = |backend: &Backend| Target { backend: backend.clone(), address };
+        driver.take(Input::List(ListUpdate::Full, vec![target(&backend)]));
+        backend.state = state;
+        driver.take(Input::List(ListUpdate::Changes, vec![target(&backend)]));
+        let local = tokio::task::LocalSet::new();
+        local
+            .run_until(async {
+                driver.dispatch(driver.clock.now(), id, BackendId(7));
+                tokio::task::yield_now().await;
+            })
+            .await;
+        let Some(Event::AttemptEnded(end)) = driver.events.last() else { panic!("an outcome") };
+        assert_eq!((end.attempt, end.outcome, end.settled), (AttemptNo(0), Outcome::NeverSent, false));
+        assert!(listener.accept().is_err(), "dialled though {state:?}");
+    }
+}
+
+/// The module may ask for a copy in the very tick in which the answer came: that attempt is the second.
+#[tokio::test]
+async fn an_attempt_after_the_answer_ends_under_its_own_number() {
+    let id = RequestId(1);
+    let (mut driver, mut answer, _taken) = driver_with(id);
+    let clock = driver.clock;
+    let sent = clock.now();
+    let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
+    let open = driver.requests.get_mut(&id).expect("open");
+    open.attempts.insert(AttemptNo(0), Attempt { sent, stage: Rc::default(), task });
+    open.count = 1;
+    let ended = Ended { outcome: Outcome::Ok, answer: Some(Response::new(Bytes::new())), crowded: false };
+    driver.take(Input::Ended(id, AttemptNo(0), ended));
+    assert!(matches!(answer.try_recv(), Ok(Answer::Served(_))), "at once");
+    driver.dispatch(clock.now(), id, BackendId(7));
+    let Some(Event::AttemptEnded(end)) = driver.events.last() else { panic!("an outcome") };
+    let expected = (AttemptNo(1), Outcome::NeverSent, true);
+    assert_eq!((end.attempt, end.outcome, end.settled), expected);
+    driver.drop_over();
+    assert!(driver.requests.is_empty() && driver.deadlines.is_empty());
+}
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -6,7 +6,7 @@
 mod config;
 mod discovery;
 mod driver;
-mod form;
+mod request;
 mod server;
 mod upstream;
 mod wire;
@@ -86,7 +86,7 @@
     let pool = Rc::new(upstream::Pool::new(clock, config.dial_timeout, config.conn_idle, backends));
     let server = Rc::new(server::Server {
         clock,
-        rules: form::Rules {
+        rules: request::Rules {
             names: config.names,
             classes: config.module.classes.clone(),
             longest: config.longest,
--- a/src/bin/gaugesaddle/form.rs
+++ b/src/bin/gaugesaddle/request.rs
@@ -1,4 +1,4 @@
-//! The form of a client's request: what the module needs to know of it, or why it is turned away.
+//! Checks the head of a request: what the module needs to know of it, or why it is turned away.
 
 use crate::upstream::{BODY_BYTES, TIME_LEFT};
 use beechworks::settings::Names;
@@ -17,15 +17,15 @@
 const ID_BYTES: usize = 128;
 
 /// Why a request is turned away, whose connection ends with that: what follows on it can't be trusted.
-pub struct Wrong(pub StatusCode, pub &'static str);
+pub struct Rejection(pub StatusCode, pub &'static str);
 
-impl From<&'static str> for Wrong {
-    fn from(text: &'static str) -> Wrong {
-        Wrong(StatusCode::BAD_REQUEST, text)
+impl From<&'static str> for Rejection {
+    fn from(text: &'static str) -> Rejection {
+        Rejection(StatusCode::BAD_REQUEST, text)
     }
 }
 
-pub struct Form {
+pub struct Metadata {
     /// The id that the client gave it.
     pub id: HeaderValue,
     pub class: ClassId,
@@ -45,19 +45,19 @@
 
 /// Refuses what frames its body in another way than by a length. hyper takes `Content-Length` out where
 /// `Transfer-Encoding` stands beside it, so a request that carries both can't be told from one that does not.
-pub fn framing(head: &Parts, length: Option<u64>) -> Result<(), Wrong> {
+pub fn check_framing(head: &Parts, length: Option<u64>) -> Result<(), Rejection> {
     if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err(Wrong(StatusCode::LENGTH_REQUIRED, "expected Content-Length, not Transfer-Encoding"));
+        return Err(Rejection(StatusCode::LENGTH_REQUIRED, "expected Content-Length, not Transfer-Encoding"));
     }
     if length.is_none_or(|n| n > BODY_BYTES as u64) {
-        return Err(Wrong(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        return Err(Rejection(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
     }
     Ok(())
 }
 
 impl Rules {
     /// What the module needs to know of a request.
-    pub fn read(&self, head: &Parts, length: Option<u64>) -> Result<Form, Wrong> {
+    pub fn parse(&self, head: &Parts, length: Option<u64>) -> Result<Metadata, Rejection> {
         let headers = &head.headers;
         text(headers, &HOST)?.ok_or("expected Host")?;
         let name = text(headers, &CLASS)?.ok_or("expected X-Service-Class")?;
@@ -84,7 +84,7 @@
             None => return Err("expected X-Account".into()),
         };
         let left = number(headers, &TIME_LEFT)?.ok_or("expected X-Time-Left-Ms")?;
-        Ok(Form {
+        Ok(Metadata {
             id: HeaderValue::from_str(id).map_err(|_| "X-Correlation-Id: not readable")?,
             class,
             tenant,
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -3,7 +3,7 @@
 use crate::client::Socket;
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
-use crate::form::{self, Rules, Wrong};
+use crate::request::{check_framing, Rejection, Rules};
 use crate::upstream::{strip, Call, BODY_BYTES};
 use beechworks::{Micros, RequestId, Time};
 use bytes::Bytes;
@@ -331,7 +331,7 @@
         link.phase.set(Phase::Waiting(self.clock.now()));
         link.used.set(true);
         wrong.set(answer.is_err());
-        let mut answer = answer.unwrap_or_else(|Wrong(status, text)| plain(status, text));
+        let mut answer = answer.unwrap_or_else(|Rejection(status, text)| plain(status, text));
         if wrong.get() && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
@@ -341,11 +341,13 @@
         Ok(answer)
     }
 
-    async fn answer(&self, request: Request<Incoming>, link: &Link) -> Result<Response<Full<Bytes>>, Wrong> {
+    async fn answer(
+        &self, request: Request<Incoming>, link: &Link,
+    ) -> Result<Response<Full<Bytes>>, Rejection> {
         let came = self.clock.now();
         let (mut head, body) = request.into_parts();
         let length = body.size_hint().exact();
-        form::framing(&head, length)?;
+        check_framing(&head, length)?;
         if head.uri.path() == "/-/ready" && length == Some(0) {
             let ready = self.status.serving.get() && self.stopping.get().is_none();
             return Ok(if ready {
@@ -354,34 +356,34 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             });
         }
-        let form = self.rules.read(&head, length)?;
+        let metadata = self.rules.parse(&head, length)?;
         let _room = self.room(length.unwrap_or(0) as usize)?;
         let due = self.clock.instant(link.body_due(came));
         let body = match tokio::time::timeout_at(due, Limited::new(body, BODY_BYTES).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => return Err("the body is broken".into()),
-            Err(_) => return Err(Wrong(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+            Err(_) => return Err(Rejection(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
-        if !self.ids.borrow_mut().insert(form.id.clone()) {
-            return Err(Wrong(StatusCode::CONFLICT, "X-Correlation-Id: that of a request that is open"));
+        if !self.ids.borrow_mut().insert(metadata.id.clone()) {
+            return Err(Rejection(StatusCode::CONFLICT, "X-Correlation-Id: that of a request that is open"));
         }
         link.phase.set(Phase::Taken);
         let request = RequestId(self.number());
-        let mut ticket = Ticket { request, id: form.id, server: self, answered: false };
+        let mut ticket = Ticket { request, id: metadata.id, server: self, answered: false };
         strip(&mut head.headers);
         let mut sent = Request::new(());
         *sent.method_mut() = head.method;
         *sent.uri_mut() = head.uri.path_and_query().map(|p| p.clone().into()).unwrap_or_default();
         *sent.headers_mut() = head.headers;
         let (reply, answer) = oneshot::channel();
-        let deadline = came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0));
+        let deadline = came + Micros(metadata.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0));
         let arrived = Input::Arrived(Arrived {
             id: request,
-            class: form.class,
-            tenant: form.tenant,
+            class: metadata.class,
+            tenant: metadata.tenant,
             deadline: self.stopping.get().map_or(deadline, |stop| deadline.min(stop.answered_by)),
-            work_hint: form.work_hint,
-            repeat: form.repeat,
+            work_hint: metadata.work_hint,
+            repeat: metadata.repeat,
             call: Rc::new(Call { head: sent, body }),
             reply,
         });
@@ -401,10 +403,10 @@
     }
 
     /// Room for a body of that size; without it many large ones together would use up the memory.
-    fn room(&self, bytes: usize) -> Result<Room<'_>, Wrong> {
+    fn room(&self, bytes: usize) -> Result<Room<'_>, Rejection> {
         let free = &self.body_room;
         let left = free.get().checked_sub(bytes);
-        free.set(left.ok_or(Wrong(StatusCode::SERVICE_UNAVAILABLE, "too many large requests at once"))?);
+        free.set(left.ok_or(Rejection(StatusCode::SERVICE_UNAVAILABLE, "too many large requests at once"))?);
         Ok(Room { bytes, server: self })
     }
 }
--- /dev/null
+++ b/src/bin/gaugesaddle/upstream/tests.rs
@@ -0,0 +1,56 @@
+use super::*;
+use beechworks::Backend;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+fn take_request(stream: &mut TcpStream) {
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("a request");
+        seen.push(byte[0]);
+    }
+}
+
+/// What comes late behind an answer must not become the next one, also where the runtime has not seen it:
+/// here it has had no time to look between the two attempts.
+#[tokio::test]
+async fn a_late_surplus_does_not_become_the_next_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let (next, turn) = std::sync::mpsc::channel();
+    let (done, surplus) = std::sync::mpsc::channel();
+    let backend = std::thread::spawn(move || {
+        let answer = |body| format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{body}");
+        let mut first = listener.accept().expect("a connection").0;
+        take_request(&mut first);
+        first.write_all(answer("1").as_bytes()).expect("written");
+        turn.recv().expect("the answer was read");
+        first.write_all(answer("x").as_bytes()).expect("written");
+        done.send(()).expect("waited for");
+        let mut second = listener.accept().expect("another connection").0;
+        take_request(&mut second);
+        second.write_all(answer("2").as_bytes()).expect("written");
+        first.read(&mut [0]).unwrap_or(0) // closed with the surplus unread, it is reset
+    });
+    let clock = Clock::new();
+    let second = Micros(1_000_000);
+    let pool = Pool::new(clock, second, second.times(30.0), 8);
+    let entry = Backend { state: BackendState::Ready, ..Backend::default() };
+    let upstream = Upstream::new(Target { backend: entry, address });
+    let call = Call { head: Request::new(()), body: Bytes::new() };
+    let body = |ended: Ended| ended.answer.map(Response::into_body);
+    let times = Times { send_by: None, deadline: clock.now() + second.times(30.0) };
+    // Local tasks, as in the proxy: woken ones run on for a while before the runtime looks at its sockets.
+    let attempts = async move {
+        let stage = Stage::default();
+        let one = body(pool.attempt(&upstream, &call, times, &stage).await);
+        next.send(()).expect("waited for");
+        surplus.recv().expect("written");
+        (one, body(pool.attempt(&upstream, &call, times, &stage).await))
+    };
+    let local = tokio::task::LocalSet::new();
+    let bodies = local.run_until(async { tokio::task::spawn_local(attempts).await.expect("no panic") });
+    assert_eq!(bodies.await, (Some(Bytes::from("1")), Some(Bytes::from("2"))));
+    assert_eq!(backend.join().expect("no panic"), 0, "not a byte of the second request on the first");
+}
