A client's socket is asked for its end right before each attempt's first byte

A proxy that gets little of a core meets such moments whenever it is late.

To blame: Pool::attempt in upstream.rs writes as soon as the connection is up, and learns of the client's end only through the client's own task and the driver. Both ends come out of one epoll call, in the order in which they happened, so the attempt's task runs first.

Ruled out: requests that are held, in between two attempts, behind a long body or behind another request, and two hundred clients at once: those tests passed before too, as the end and what would send the request reach the driver in one turn. First runs that seemed to show more were the tests' own fault: a process that another test thread was starting held copies of the closed sockets, so leave_all now waits until the system's table shows the ends. A half-closed connection counts as closed, as before.

The change: Presence (client.rs) reads the client's socket itself, behind unread bytes too, keeping them for later, and holds no descriptor. An attempt whose client has left ends as never sent and its connection goes back to the pool. Link::exchange hands the request over before it runs the connection, so that nothing comes between the question and the write.

--- a/src/bin/gaugesaddle/client.rs
+++ b/src/bin/gaugesaddle/client.rs
@@ -5,10 +5,10 @@
 use bytes::{Buf, BytesMut};
 use socket2::SockRef;
 use std::cell::RefCell;
-use std::io::{self, IoSlice};
+use std::io::{self, ErrorKind, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -27,6 +27,17 @@
     ended: bool,
 }
 
+impl Shared {
+    /// Keeps what came for whoever reads requests, up to a bound; nothing, or a failed read, is the end.
+    fn read_ahead(&mut self, read: io::Result<&[u8]>) {
+        let piece = read.unwrap_or_default();
+        self.ended |= piece.is_empty();
+        let kept = if self.cut { 0 } else { piece.len().min(AHEAD - self.ahead.len()) };
+        self.cut |= kept < piece.len();
+        self.ahead.extend_from_slice(&piece[..kept]);
+    }
+}
+
 /// The socket, and a second handle to it for whoever looks out for its end. Both belong to one task.
 #[derive(Clone)]
 pub struct Socket(Rc<RefCell<Shared>>);
@@ -44,15 +55,16 @@
         while !shared.ended {
             let mut buffer = ReadBuf::new(&mut piece);
             let read = ready!(Pin::new(&mut shared.stream).poll_read(cx, &mut buffer));
-            shared.ended = read.is_err() || buffer.filled().is_empty();
-            let room = if shared.cut { 0 } else { AHEAD - shared.ahead.len() };
-            let kept = buffer.filled().len().min(room);
-            shared.cut |= kept < buffer.filled().len();
-            shared.ahead.extend_from_slice(&buffer.filled()[..kept]);
+            shared.read_ahead(read.map(|()| buffer.filled()));
         }
         Poll::Ready(())
     }
 
+    /// To ask later whether the client has left.
+    pub fn presence(&self) -> Presence {
+        Presence(Rc::downgrade(&self.0))
+    }
+
     /// Whether bytes of the client were thrown away.
     pub fn is_cut(&self) -> bool {
         self.0.borrow().cut
@@ -66,6 +78,29 @@
     }
 }
 
+/// Tells whether a client is still there; it does not keep its connection open.
+#[derive(Clone)]
+pub struct Presence(Weak<RefCell<Shared>>);
+
+impl Presence {
+    /// Whether the client has closed the connection or broken it. The socket itself is asked: the runtime learns of
+    /// an end only in its turn, and what came in with it may be handled before it.
+    pub fn has_left(&self) -> bool {
+        let Some(shared) = self.0.upgrade() else { return true };
+        let shared = &mut *shared.borrow_mut();
+        let mut piece = [0; PIECE];
+        while !shared.ended {
+            let read = (&*SockRef::from(&shared.stream)).read(&mut piece);
+            match read {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                read => shared.read_ahead(read.map(|n| &piece[..n])),
+            }
+        }
+        true
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         let shared = &mut *self.0.borrow_mut();
@@ -101,3 +136,6 @@
         Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/gaugesaddle/driver/tests.rs
+++ b/src/bin/gaugesaddle/driver/tests.rs
@@ -9,7 +9,8 @@
     let mut driver =
         Driver::new(clock, Config::example(), 1, 8, pool, inputs, follow, status).expect("sound");
     let (reply, answer) = oneshot::channel();
-    let call = Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new() });
+    let call =
+        Rc::new(Call { head: hyper::Request::new(()), body: Bytes::new(), client_left: Box::new(|| false) });
     let deadline = clock.now() + Micros(1_000_000);
     let (class, tenant, work_hint, repeat) = (ClassId(0), None, None, false);
     driver.take(Input::Arrived(Arrived { id, class, tenant, deadline, work_hint, repeat, call, reply }));
@@ -44,6 +45,29 @@
     }
 }
 
+/// The client leaves and the module wishes to send inside one tick: not so much as a connection is made.
+#[tokio::test]
+async fn a_dispatch_that_crosses_the_clients_end_is_never_sent() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.set_nonblocking(true).expect("set");
+    let address = listener.local_addr().expect("its address");
+    let id = RequestId(1);
+    let (mut driver, _answer, _taken) = driver_with(id);
+    let backend = Backend { id: BackendId(7), state: BackendState::Ready, ..Backend::default() };
+    driver.take(Input::List(ListUpdate::Full, vec![Target { backend, address }]));
+    driver.take(Input::Left(id));
+    let local = tokio::task::LocalSet::new();
+    local
+        .run_until(async {
+            driver.dispatch(driver.clock.now(), id, BackendId(7));
+            tokio::task::yield_now().await;
+        })
+        .await;
+    let Some(Event::AttemptEnded(end)) = driver.events.last() else { panic!("an outcome") };
+    assert_eq!((end.attempt, end.outcome, end.settled), (AttemptNo(0), Outcome::NeverSent, true));
+    assert!(listener.accept().is_err(), "dialled");
+}
+
 /// The module may ask for a copy in the very tick in which the answer came: that attempt is the second.
 #[tokio::test]
 async fn an_attempt_after_the_answer_ends_under_its_own_number() {
--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -1,6 +1,6 @@
 //! The client side: connections, and a request from its first byte to its answer.
 
-use crate::client::Socket;
+use crate::client::{Presence, Socket};
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
 use crate::request::{check_framing, Rejection, Rules};
@@ -102,6 +102,7 @@
 /// A client connection.
 pub struct Link {
     opened: Time,
+    presence: Presence,
     phase: Cell<Phase>,
     /// It has brought a request.
     used: Cell<bool>,
@@ -111,9 +112,9 @@
 }
 
 impl Link {
-    fn new(now: Time) -> Link {
-        let phase = Cell::new(Phase::Waiting(now));
-        Link { opened: now, phase, used: Cell::default(), told: Cell::default(), close: Notify::new() }
+    fn new(now: Time, presence: Presence) -> Link {
+        let (phase, used, told) = (Cell::new(Phase::Waiting(now)), Cell::default(), Cell::default());
+        Link { opened: now, presence, phase, used, told, close: Notify::new() }
     }
 
     /// Tells it to close unless it was told a moment ago.
@@ -267,7 +268,8 @@
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
+        let socket = Socket::new(stream);
+        let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now(), socket.presence())));
         self.links.borrow_mut().insert(number, link.clone());
         tokio::task::spawn_local(async move {
             let _gone = Gone { number, server: &self };
@@ -275,7 +277,6 @@
             let service = hyper::service::service_fn(|request| Box::pin(self.handle(request, &link, &wrong)));
             let mut http = http1::Builder::new();
             http.max_buf_size(HEAD_BYTES).header_read_timeout(None);
-            let socket = Socket::new(stream);
             let mut connection = http.serve_connection(TokioIo::new(socket.clone()), service);
             let (mut told, mut spared) = (false, false);
             let ended = loop {
@@ -375,7 +376,7 @@
         *sent.method_mut() = head.method;
         *sent.uri_mut() = head.uri.path_and_query().map(|p| p.clone().into()).unwrap_or_default();
         *sent.headers_mut() = head.headers;
-        let (reply, answer) = oneshot::channel();
+        let (presence, (reply, answer)) = (link.presence.clone(), oneshot::channel());
         let deadline = came + Micros(metadata.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0));
         let arrived = Input::Arrived(Arrived {
             id: request,
@@ -384,7 +385,7 @@
             deadline: self.stopping.get().map_or(deadline, |stop| deadline.min(stop.answered_by)),
             work_hint: metadata.work_hint,
             repeat: metadata.repeat,
-            call: Rc::new(Call { head: sent, body }),
+            call: Rc::new(Call { head: sent, body, client_left: Box::new(move || presence.has_left()) }),
             reply,
         });
         let _ = self.inputs.send(arrived);
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -36,6 +36,8 @@
 pub struct Call {
     pub head: Request<()>,
     pub body: Bytes,
+    /// Whether its client has left; asked right before the first byte of each attempt.
+    pub client_left: Box<dyn Fn() -> bool>,
 }
 
 /// The times of an attempt.
@@ -51,6 +53,11 @@
 pub struct Stage(RefCell<Option<Rc<Progress>>>);
 
 impl Stage {
+    /// It goes out on the connection with that progress.
+    pub fn sends(&self, progress: Rc<Progress>) {
+        *self.0.borrow_mut() = Some(progress);
+    }
+
     /// Some byte of the request was handed to the socket. Until then it has not been sent.
     pub fn begun(&self) -> bool {
         self.0.borrow().as_ref().is_some_and(|progress| progress.begun.get())
@@ -112,13 +119,15 @@
 
 impl Link {
     /// Sends the request and reads the whole answer while running the connection, whose own end shows in what
-    /// the exchange gets.
+    /// the exchange gets. The exchange goes first: its request is written before anything else can come between.
     async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
         let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
         poll_fn(|cx| {
-            if !self.ended {
-                self.ended = self.driving.as_mut().poll(cx).is_ready();
+            let ended = exchange.as_mut().poll(cx);
+            if self.ended || ended.is_ready() {
+                return ended;
             }
+            self.ended = self.driving.as_mut().poll(cx).is_ready();
             exchange.as_mut().poll(cx)
         })
         .await
@@ -208,11 +217,11 @@
     }
 
     /// The pooled connection that was used last, if the backend has not closed it.
-    async fn pooled(&self, upstream: &Upstream) -> Option<Link> {
+    async fn pooled(&self, upstream: &Upstream) -> Option<(Time, Link)> {
         loop {
             let (since, (mut link, _)) = upstream.idle.borrow_mut().pop()?;
             if self.clock.now() - since < self.idle_limit && link.alive().await {
-                return Some(link);
+                return Some((since, link));
             }
         }
     }
@@ -243,9 +252,9 @@
             let fresh = pooled.is_none();
             let link = match pooled {
                 Some(link) => Ok(link),
-                None => self.connect(upstream.target.address).await,
+                None => self.connect(upstream.target.address).await.map(|link| (self.clock.now(), link)),
             };
-            let mut link = match link {
+            let (idle_since, mut link) = match link {
                 Ok(link) => link,
                 Err(outcome) => return outcome.into(),
             };
@@ -253,9 +262,13 @@
             if !upstream.open.get() || times.send_by.is_some_and(|by| self.clock.now() >= by) {
                 return Outcome::NeverSent.into();
             }
+            if (call.client_left)() {
+                self.put_back(upstream, idle_since, link);
+                return Outcome::NeverSent.into();
+            }
             let left = (times.deadline - self.clock.now()).0 / 1000;
             link.progress.restart();
-            *stage.0.borrow_mut() = Some(link.progress.clone());
+            stage.sends(link.progress.clone());
             return match link.exchange(request(call, left)).await {
                 Ok(mut ended) => {
                     ended.crowded &= fresh;
--- a/src/bin/gaugesaddle/upstream/tests.rs
+++ b/src/bin/gaugesaddle/upstream/tests.rs
@@ -38,7 +38,7 @@
     let pool = Pool::new(clock, second, second.times(30.0), 8);
     let entry = Backend { state: BackendState::Ready, ..Backend::default() };
     let upstream = Upstream::new(Target { backend: entry, address });
-    let call = Call { head: Request::new(()), body: Bytes::new() };
+    let call = Call { head: Request::new(()), body: Bytes::new(), client_left: Box::new(|| false) };
     let body = |ended: Ended| ended.answer.map(Response::into_body);
     let times = Times { send_by: None, deadline: clock.now() + second.times(30.0) };
     // Local tasks, as in the proxy: woken ones run on for a while before the runtime looks at its sockets.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,96 +2,13 @@
 //! connection that can't come up yet, a peer that holds its reply, or a request that is known to be open.
 
 mod sockets;
-use serde_json::{json, Value};
+use serde_json::json;
 use sockets::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::sync::{mpsc, Mutex};
 use std::time::{Duration, Instant};
 
-/// A listener whose queue is full, so that further connections hang while they are made.
-struct Clogged {
-    listener: TcpListener,
-    queued: Vec<TcpStream>,
-}
-
-impl Clogged {
-    fn start() -> Clogged {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        let brief = Duration::from_millis(200);
-        let queued =
-            std::iter::from_fn(|| TcpStream::connect_timeout(&address, brief).ok()).take(100).collect();
-        Clogged { listener, queued }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.listener.local_addr().unwrap()
-    }
-
-    /// Whether some connection to it is being made.
-    fn is_dialled(&self) -> bool {
-        let to = format!("0100007F:{:04X} 02", self.address().port());
-        std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&to)
-    }
-
-    /// Takes all connections from now on; tells how many bytes came on them before one that says so ended it.
-    fn bytes(self) -> usize {
-        let address = self.address();
-        drop(self.queued);
-        let counting = std::thread::spawn({
-            let listener = self.listener;
-            move || {
-                let mut sum = 0;
-                for mut stream in listener.incoming().map_while(Result::ok) {
-                    let mut all = Vec::new();
-                    stream.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
-                    let _ = stream.read_to_end(&mut all);
-                    if all == b"done" {
-                        break;
-                    }
-                    sum += all.len();
-                }
-                sum
-            }
-        });
-        // The queue frees up as it is taken from: this gets in once all before it have.
-        TcpStream::connect(address).unwrap().write_all(b"done").unwrap();
-        counting.join().unwrap()
-    }
-}
-
-fn list(backends: &[(&str, SocketAddr, &str)]) -> Vec<Value> {
-    backends.iter().map(|(name, address, status)| line(name, *address, status, 0)).collect()
-}
-
-/// A configuration in which only its end ends a request: no deadline comes near.
-fn patient(discovery: &Discovery, backends: &[(&str, SocketAddr, &str)]) -> Value {
-    let mut config = config(discovery.address, &list(backends));
-    for class in config["settings"]["profiles"].as_array_mut().unwrap() {
-        class["aim_us"] = json!(600_000_000);
-        class["deadline_us"] = json!(600_000_000);
-    }
-    config
-}
-
-/// Whether a request with the id of this one is open: a second with that id is turned away then.
-fn is_open(proxy: &Proxy, text: &str) -> bool {
-    let left = text.lines().find(|l| l.starts_with("X-Time-Left-Ms")).unwrap();
-    ask(proxy, &text.replace(left, "X-Time-Left-Ms: 0")).status() == 409
-}
-
-/// Ends a connection: in order, or by a reset.
-fn leave(mut client: Client, reset: bool) {
-    if reset {
-        socket2::SockRef::from(client.stream()).set_linger(Some(Duration::ZERO)).unwrap();
-    }
-    drop(client);
-}
-
 #[test]
 fn a_client_that_leaves_during_the_dial_is_not_sent_on() {
     for (cancel, reset, more) in [
@@ -158,10 +75,6 @@
     }
 }
 
-fn turned_away() -> Reply {
-    Reply::Say("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".into())
-}
-
 #[test]
 fn a_client_that_leaves_before_the_next_try_is_not_sent_on() {
     let (full, other) = (Backend::start(|_| turned_away()), Backend::start(|_| ok("x")));
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -74,9 +74,15 @@
     Reply::Say(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
 
+/// Not run, and it may be sent elsewhere.
+pub fn turned_away() -> Reply {
+    Reply::Say("HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n".into())
+}
+
 #[derive(Default)]
 struct Seen {
     requests: Mutex<Vec<Message>>,
+    answered: Mutex<usize>,
     opened: Mutex<usize>,
     closed: Mutex<usize>,
 }
@@ -113,6 +119,7 @@
                 Reply::Silence => continue,
             };
             let _ = stream.write_all(text.as_bytes());
+            *seen.answered.lock().unwrap() += 1;
             if close {
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 break;
@@ -124,6 +131,10 @@
     pub fn requests(&self) -> Vec<Message> {
         self.seen.requests.lock().unwrap().clone()
     }
+    /// Answers that have been written.
+    pub fn answered(&self) -> usize {
+        *self.seen.answered.lock().unwrap()
+    }
     pub fn opened(&self) -> usize {
         *self.seen.opened.lock().unwrap()
     }
@@ -151,6 +162,7 @@
     pub address: SocketAddr,
     news: Arc<(Mutex<News>, Condvar)>,
     calls: Arc<Mutex<usize>>,
+    written: Arc<Mutex<usize>>,
     closed: Arc<Mutex<usize>>,
 }
 
@@ -162,8 +174,8 @@
     pub fn start_at(address: SocketAddr) -> Discovery {
         let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
-        let discovery =
-            Discovery { address, news: Arc::default(), calls: Arc::default(), closed: Arc::default() };
+        let (calls, written) = (Arc::default(), Arc::default());
+        let discovery = Discovery { address, news: Arc::default(), calls, written, closed: Arc::default() };
         let all = discovery.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -181,6 +193,7 @@
             let Some(answer) = self.news(&stream) else { break };
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len());
             let _ = stream.write_all((head + &answer).as_bytes());
+            *self.written.lock().unwrap() += 1;
         }
     }
 
@@ -214,12 +227,34 @@
     /// The same, word for word.
     pub fn say(&self, answer: &str) {
         let before = self.calls();
-        self.news.0.lock().unwrap().answer = Some(answer.into());
-        self.news.1.notify_all();
+        self.post(answer);
         let least = if before == 0 { 2 } else { before + 1 };
         until("the next call of discovery", || self.calls() >= least);
     }
 
+    /// Answers the call that waits with the whole list or changes, and waits only until that is written.
+    pub fn write(&self, whole: bool, lines: &[Value]) {
+        let before = self.written();
+        self.publish(whole, lines);
+        until("the answer written", || self.written() > before);
+    }
+
+    /// Answers the next call, or the one that waits, with the whole list or changes.
+    pub fn publish(&self, whole: bool, lines: &[Value]) {
+        let index = self.news.0.lock().unwrap().index + 1;
+        self.news.0.lock().unwrap().index = index;
+        self.post(&json!({"index": index, "snapshot": whole, "endpoints": lines}).to_string());
+    }
+
+    fn written(&self) -> usize {
+        *self.written.lock().unwrap()
+    }
+
+    fn post(&self, answer: &str) {
+        self.news.0.lock().unwrap().answer = Some(answer.into());
+        self.news.1.notify_all();
+    }
+
     pub fn calls(&self) -> usize {
         *self.calls.lock().unwrap()
     }
@@ -332,6 +367,17 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// Has the proxy stand still: what comes in until `resume` it finds all at once.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let status = format!("/proc/{}/stat", self.child.id());
+        until("the stop", || std::fs::read_to_string(&status).unwrap().contains(") T "));
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -387,6 +433,13 @@
     pub fn answer(&mut self) -> Option<Message> {
         read_message(&mut self.stream)
     }
+    /// Whether anything has come; does not wait.
+    pub fn has_answer(&mut self) -> bool {
+        self.stream().set_nonblocking(true).unwrap();
+        let came = self.stream().peek(&mut [0]).is_ok();
+        self.stream().set_nonblocking(false).unwrap();
+        came
+    }
     /// Whether the proxy has closed the connection; waits for it.
     pub fn ends(&mut self) -> bool {
         matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
@@ -415,3 +468,121 @@
     client.send(text);
     client.answer().expect("a whole answer")
 }
+
+/// A listener whose queue is full, so that further connections hang while they are made.
+pub struct Clogged {
+    listener: TcpListener,
+    queued: Vec<TcpStream>,
+}
+
+impl Clogged {
+    pub fn start() -> Clogged {
+        Clogged::with_queue(0)
+    }
+
+    /// One more than `queue` connections can come up once it lets them in.
+    pub fn with_queue(queue: i32) -> Clogged {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(queue).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let brief = Duration::from_millis(200);
+        let queued =
+            std::iter::from_fn(|| TcpStream::connect_timeout(&address, brief).ok()).take(100).collect();
+        Clogged { listener, queued }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Whether some connection to it is being made.
+    pub fn is_dialled(&self) -> bool {
+        self.count("02") > 0
+    }
+
+    /// Connections to it in that state of the system's table: 02 while they are made, 01 once they are up.
+    pub fn count(&self, state: &str) -> usize {
+        let to = format!("0100007F:{:04X}", self.address().port());
+        let is_one = |line: &&str| line.split_whitespace().skip(2).take(2).eq([&to[..], state]);
+        std::fs::read_to_string("/proc/net/tcp").unwrap().lines().filter(is_one).count()
+    }
+
+    /// Empties the queue, so that connections that are being made come up, and reads nothing.
+    pub fn let_in(&mut self) {
+        self.queued.clear();
+        self.listener.set_nonblocking(true).unwrap();
+        while self.listener.accept().is_ok() {}
+        self.listener.set_nonblocking(false).unwrap();
+    }
+
+    /// Takes all connections from now on; tells how many bytes came on them before one that says so ended it.
+    pub fn bytes(self) -> usize {
+        let address = self.address();
+        drop(self.queued);
+        let counting = std::thread::spawn({
+            let listener = self.listener;
+            move || {
+                let mut sum = 0;
+                for mut stream in listener.incoming().map_while(Result::ok) {
+                    let mut all = Vec::new();
+                    stream.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+                    let _ = stream.read_to_end(&mut all);
+                    if all == b"done" {
+                        break;
+                    }
+                    sum += all.len();
+                }
+                sum
+            }
+        });
+        // The queue frees up as it is taken from: this gets in once all before it have.
+        TcpStream::connect(address).unwrap().write_all(b"done").unwrap();
+        counting.join().unwrap()
+    }
+}
+
+pub fn list(backends: &[(&str, SocketAddr, &str)]) -> Vec<Value> {
+    backends.iter().map(|(name, address, status)| line(name, *address, status, 0)).collect()
+}
+
+/// A configuration in which only its end ends a request: no deadline comes near.
+pub fn patient(discovery: &Discovery, backends: &[(&str, SocketAddr, &str)]) -> Value {
+    let mut config = config(discovery.address, &list(backends));
+    for class in config["settings"]["profiles"].as_array_mut().unwrap() {
+        class["aim_us"] = json!(600_000_000);
+        class["deadline_us"] = json!(600_000_000);
+    }
+    config
+}
+
+/// Whether a request with the id of this one is open: a second with that id is turned away then.
+pub fn is_open(proxy: &Proxy, text: &str) -> bool {
+    let left = text.lines().find(|l| l.starts_with("X-Time-Left-Ms")).unwrap();
+    ask(proxy, &text.replace(left, "X-Time-Left-Ms: 0")).status() == 409
+}
+
+/// Ends connections: in order, or by a reset. Waits until the system has ended them: a process that another test
+/// starts holds copies of them for a moment, and the last copy decides.
+pub fn leave_all(mut clients: Vec<Client>, reset: bool) {
+    let hex = |a: std::io::Result<SocketAddr>| format!("0100007F:{:04X}", a.unwrap().port());
+    let mut ends = std::collections::HashSet::new();
+    for client in &mut clients {
+        ends.insert([hex(client.stream().local_addr()), hex(client.stream().peer_addr()), "01".into()]);
+        if reset {
+            socket2::SockRef::from(client.stream()).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    }
+    drop(clients);
+    let is_up = |line: &str| {
+        let mut fields = line.split_whitespace().skip(1).map(String::from);
+        let mut next = || fields.next().unwrap_or_default();
+        ends.contains(&[next(), next(), next()])
+    };
+    until("the ends", || !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(is_up));
+}
+
+pub fn leave(client: Client, reset: bool) {
+    leave_all(vec![client], reset);
+}
