What is not written whole when its client leaves is not written on

What was seen: by reading; a request whose first bytes are out and whose last are not (a backend that reads slowly) went on being written after its client had gone where the settings forbid calling off, and a backend begins a request with its last byte.

To blame: Driver::withdraw kept every attempt of which a byte was handed over (Stage::begun).

Ruled out: forcing it on real sockets; loopback takes in 64 KiB at once whatever the backend reads.

The change: it keeps those that were handed over whole (Stage::whole); the others end, as those did that had not begun.

Result: a_client_that_leaves_ends_what_is_not_written_whole fails without the change (the attempt goes on) and passes with it.

--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -274,14 +274,14 @@
         }
     }
 
-    /// Nobody waits for the request any more: what has not been begun of it is not sent, also where attempts
-    /// may not be called off. Those that have been begun are the module's to judge.
+    /// Nobody waits for the request any more: what has not been sent whole of it is not sent, also where attempts
+    /// may not be called off, for a backend begins with the last byte. Those that are there are the module's to judge.
     fn withdraw(&mut self, request: RequestId) {
         let now = self.clock.now();
         let Some(r) = self.requests.get_mut(&request) else { return };
-        let (begun, waiting): (HashMap<_, _>, HashMap<_, _>) =
-            std::mem::take(&mut r.attempts).into_iter().partition(|(_, a)| a.stage.begun());
-        r.attempts = begun;
+        let (whole, waiting): (HashMap<_, _>, HashMap<_, _>) =
+            std::mem::take(&mut r.attempts).into_iter().partition(|(_, a)| a.stage.whole());
+        r.attempts = whole;
         for (attempt, a) in waiting {
             let (latency, outcome) = (now - a.sent, a.end(Outcome::Cancelled, Outcome::NeverSent));
             let end = AttemptEnd { request, attempt, outcome, latency, settled: true };
--- a/src/bin/gaugesaddle/driver/tests.rs
+++ b/src/bin/gaugesaddle/driver/tests.rs
@@ -68,6 +68,30 @@
     assert!(listener.accept().is_err(), "dialled");
 }
 
+/// A backend begins with the last byte of a request: what has not been written whole when its client leaves is not
+/// written on, whatever the settings say of calling off.
+#[tokio::test]
+async fn a_client_that_leaves_ends_what_is_not_written_whole() {
+    for whole in [false, true] {
+        let id = RequestId(1);
+        let (mut driver, _answer, _taken) = driver_with(id);
+        driver.config.cancel = false;
+        let progress = Rc::new(crate::wire::Progress::default());
+        progress.begun.set(true);
+        progress.whole.set(whole);
+        let stage = Rc::new(Stage::default());
+        stage.sends(progress);
+        let attempt = tokio::spawn(std::future::pending::<()>());
+        let (sent, task) = (driver.clock.now(), attempt.abort_handle());
+        let open = driver.requests.get_mut(&id).expect("open");
+        open.attempts.insert(AttemptNo(0), Attempt { sent, stage, task });
+        driver.take(Input::Left(id));
+        tokio::task::yield_now().await;
+        assert_eq!(attempt.is_finished(), !whole);
+        assert_eq!(driver.requests[&id].attempts.len(), usize::from(whole));
+    }
+}
+
 /// The module may ask for a copy in the very tick in which the answer came: that attempt is the second.
 #[tokio::test]
 async fn an_attempt_after_the_answer_ends_under_its_own_number() {
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -62,6 +62,11 @@
     pub fn begun(&self) -> bool {
         self.0.borrow().as_ref().is_some_and(|progress| progress.begun.get())
     }
+
+    /// All of its bytes were. Until then it can't run.
+    pub fn whole(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|progress| progress.whole.get())
+    }
 }
 
 /// How an attempt ended, with the answer if it was served.
