At SIGTERM the listener's queue is taken in as places come free, within the limit

To blame: Server::accept_the_rest accepted all that the kernel had, whatever stood open.

Ruled out, each with a test that passed before any change (tests/descriptors.rs): idle clients, twice as many as descriptors, some silent, some with half a request, some served once, that come back whenever they are closed, while discovery is down and returns; at 64 and 1,024 descriptors, told and as the system's own limit, and at 64 of the system's with 1,024 told; lists pushed and asked for. The watch comes back, the new backend is dialled, readiness is told and a new client is served. At equal limits 32 of 64 and 510 of 1,024 were held at the end: the reserve of 32 covers discovery and the rest, and accepting stops at its half.

The change: the listener stays through the last loop; each pass accepts while there are places, and it is dropped once the kernel has no more.

--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -214,10 +214,14 @@
                 },
             }
         }
-        self.accept_the_rest(listener);
+        let mut queue = listener.into_std().ok();
         // What was taken before SIGTERM may have all of its time; what has come since ends sooner.
         let last = Instant::now() + duration(self.rules.longest + KILL);
-        while !self.links.borrow().is_empty() && Instant::now() < last {
+        loop {
+            queue = queue.filter(|listener| self.accept_the_rest(listener));
+            if (queue.is_none() && self.links.borrow().is_empty()) || Instant::now() >= last {
+                break;
+            }
             let now = self.clock.now();
             let late = self.stopping.get().is_some_and(|stop| now - stop.at >= LAST_FIRST);
             let between =
@@ -237,16 +241,23 @@
     }
 
     /// What the kernel has accepted meanwhile counts as taken, also where the runtime has not seen it yet: the
-    /// socket itself is asked until it has no more.
-    fn accept_the_rest(self: &Rc<Self>, listener: TcpListener) {
-        let Ok(listener) = listener.into_std() else { return };
-        while let Ok((stream, _)) = listener.accept() {
-            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+    /// socket itself is asked, as places come free, until it has no more. Tells whether it may have more.
+    fn accept_the_rest(self: &Rc<Self>, listener: &std::net::TcpListener) -> bool {
+        while self.links.borrow().len() < self.most {
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
+                Err(e) => Err(e),
+            };
             match stream {
                 Ok(stream) => self.clone().serve(stream),
-                Err(e) => tracing::warn!("accept: {e}"),
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    break;
+                }
             }
         }
+        true
     }
 
     fn close_overdue(&self) {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -358,6 +358,11 @@
         client.answer().map_or(0, |a| a.status())
     }
 
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn log(&self) -> String {
         self.log.lock().unwrap().clone()
     }
@@ -440,6 +445,20 @@
         self.stream().set_nonblocking(false).unwrap();
         came
     }
+    /// Whether the proxy has closed the connection; does not wait. What came before that is thrown away.
+    pub fn has_ended(&mut self) -> bool {
+        self.stream().set_nonblocking(true).unwrap();
+        let mut piece = [0; 4096];
+        let ended = loop {
+            match self.stream().read(&mut piece) {
+                Ok(1..) => {}
+                Ok(0) => break true,
+                Err(e) => break e.kind() != std::io::ErrorKind::WouldBlock,
+            }
+        };
+        self.stream().set_nonblocking(false).unwrap();
+        ended
+    }
     /// Whether the proxy has closed the connection; waits for it.
     pub fn ends(&mut self) -> bool {
         matches!(self.stream.read(&mut [0]), Ok(0) | Err(_))
