A process without a list of its own asks discovery: its first event is an empty list

What was seen: with 'known' null or absent and lists that are asked for, no call in 30 s and never ready (tests/ready.rs: 'never came: ready' twice, 'never came: some calls that failed').

To blame: main.rs sent the module a list only where the configuration held one. The module acts on events alone, and with no list there is no request either (the front sends none), so that nothing woke it.

Ruled out: pushed lists and an empty list in 'known' worked before (their part of the same tests passes); an old list alone makes the proxy ready at once, with discovery down or silent.

The change: the first event is the list of the configuration or an empty one. When the calls go out stays the module's to say.

These are one proxy of a group of one; a group's spread is tested with the module.

--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -110,9 +110,9 @@
         inputs: sender.clone(),
         random: Pcg32::seed_from_u64(config.seed),
     };
-    if let Some(known) = config.known {
-        let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known.targets));
-    }
+    // An empty list is news too: the module acts on events alone, and without a first one it would never ask.
+    let known = config.known.map_or_else(Vec::new, |known| known.targets);
+    let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known));
     let driver =
         driver::Driver::new(clock, config.module, config.seed, config.open_cap, pool, sender, follow, status);
     let driver = driver.map_err(|e| format!("settings: {e}"))?;
