--- a/src/bin/gaugesaddle/driver.rs
+++ b/src/bin/gaugesaddle/driver.rs
@@ -199,10 +199,8 @@
             }
             if now >= sweep {
                 sweep = now + SWEEP;
-                for upstream in self.backends.values() {
-                    let (upstream, pool) = (upstream.clone(), self.pool.clone());
-                    tokio::task::spawn_local(async move { pool.sweep(&upstream).await });
-                }
+                let pool = self.pool.clone();
+                tokio::task::spawn_local(async move { pool.sweep().await });
             }
         }
     }
@@ -461,14 +459,7 @@
                 self.forget(request);
             }
             Action::SetTimer { token, after } => self.timers.push(Reverse((now + after, token))),
-            Action::Keep { idle } => {
-                let mut over = self.pool.keep(idle as usize);
-                for upstream in self.backends.values() {
-                    while over > 0 && upstream.give_way() {
-                        over -= 1;
-                    }
-                }
-            }
+            Action::Keep { idle } => self.pool.keep(idle as usize),
             Action::Follow => self.follow.notify_one(),
             Action::Log(text) => tracing::info!("{text}"),
         }
@@ -490,8 +481,8 @@
         };
         if self.pool.is_full() {
             // An idle connection to any backend gives way.
-            if let Some(u) = self.backends.values().find(|u| u.give_way()) {
-                tracing::debug!("sockets are short: closed a connection to {}", u.target.address);
+            if let Some(address) = self.pool.give_way(1) {
+                tracing::debug!("sockets are short: closed a connection to {address}");
             }
         }
         let times = Times { send_by: self.balancer.send_by(request), deadline: r.deadline };
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
@@ -89,6 +90,8 @@
     /// New requests may go to it; asked again before the first byte of each.
     pub open: Cell<bool>,
     idle: RefCell<Vec<(Time, Idle)>>,
+    /// It stands among those that may hold idle connections.
+    listed: Cell<bool>,
 }
 
 /// A connection that waits for its next request, and its place in the count of these.
@@ -97,12 +100,7 @@
 impl Upstream {
     pub fn new(target: Target) -> Upstream {
         let open = Cell::new(target.backend.state == BackendState::Ready);
-        Upstream { target, open, idle: RefCell::default() }
-    }
-
-    /// Closes an idle connection, if there is one.
-    pub fn give_way(&self) -> bool {
-        self.idle.borrow_mut().pop().is_some()
+        Upstream { target, open, idle: RefCell::default(), listed: Cell::default() }
     }
 
     /// Nothing new goes to it from now on.
@@ -175,6 +173,8 @@
     /// Those of them that are idle, and how many may be.
     idle: Rc<Cell<usize>>,
     keep: Cell<usize>,
+    /// The backends that may hold idle connections: few beside all that are listed.
+    holders: RefCell<VecDeque<Rc<Upstream>>>,
 }
 
 impl Pool {
@@ -182,7 +182,7 @@
     pub fn new(clock: Clock, dial_timeout: Micros, conn_idle: Micros, most: usize) -> Pool {
         let idle_limit = conn_idle.times(IDLE_PART);
         let (sockets, idle, keep) = (Rc::default(), Rc::default(), Cell::new(usize::MAX));
-        Pool { clock, dial_timeout, idle_limit, sockets, most, idle, keep }
+        Pool { clock, dial_timeout, idle_limit, sockets, most, idle, keep, holders: RefCell::default() }
     }
 
     /// Connections that wait for their next request.
@@ -190,29 +190,47 @@
         self.idle.get()
     }
 
-    /// Bounds these; tells how many are too many.
-    pub fn keep(&self, most: usize) -> usize {
+    /// Bounds these; those that are too many are closed.
+    pub fn keep(&self, most: usize) {
         self.keep.set(most);
-        self.idle.get().saturating_sub(most)
+        self.give_way(self.idle.get().saturating_sub(most));
+    }
+
+    /// Closes so many idle connections, or all there are; tells to whom the last of them was.
+    pub fn give_way(&self, count: usize) -> Option<SocketAddr> {
+        let holders = self.holders.borrow();
+        let idle =
+            holders.iter().flat_map(|u| std::iter::from_fn(move || u.idle.borrow_mut().pop().map(|_| u)));
+        idle.take(count).last().map(|u| u.target.address)
     }
 
     /// Keeps a connection for the next request, if it may.
-    fn put_back(&self, upstream: &Upstream, since: Time, link: Link) {
+    fn put_back(&self, upstream: &Rc<Upstream>, since: Time, link: Link) {
         if upstream.open.get() && self.idle.get() < self.keep.get() {
             upstream.idle.borrow_mut().push((since, (link, Counted::new(&self.idle))));
+            if !upstream.listed.replace(true) {
+                self.holders.borrow_mut().push_back(upstream.clone());
+            }
         }
     }
 
-    /// Closes the connections that have stood idle for too long, or that the other side has closed.
-    pub async fn sweep(&self, upstream: &Upstream) {
-        let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
-        let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.0));
-        kept.retain(|(since, _)| *since > oldest);
-        for (since, (mut link, counted)) in kept {
-            drop(counted);
-            if link.alive().await {
-                self.put_back(upstream, since, link);
+    /// Closes the connections that have stood idle for too long, or that the other side has closed. Only backends
+    /// that may hold some are looked at, and other work comes between two of them.
+    pub async fn sweep(&self) {
+        let count = self.holders.borrow().len();
+        for _ in 0..count {
+            let Some(upstream) = self.holders.borrow_mut().pop_front() else { return };
+            upstream.listed.set(false);
+            let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
+            let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.0));
+            kept.retain(|(since, _)| *since > oldest);
+            for (since, (mut link, counted)) in kept {
+                drop(counted);
+                if link.alive().await {
+                    self.put_back(&upstream, since, link);
+                }
             }
+            tokio::task::yield_now().await;
         }
     }
 
@@ -251,7 +269,7 @@
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
-    pub async fn attempt(&self, upstream: &Upstream, call: &Call, times: Times, stage: &Stage) -> Ended {
+    pub async fn attempt(&self, upstream: &Rc<Upstream>, call: &Call, times: Times, stage: &Stage) -> Ended {
         loop {
             let pooled = self.pooled(upstream).await;
             let fresh = pooled.is_none();
--- a/src/bin/gaugesaddle/upstream/tests.rs
+++ b/src/bin/gaugesaddle/upstream/tests.rs
@@ -37,7 +37,7 @@
     let second = Micros(1_000_000);
     let pool = Pool::new(clock, second, second.times(30.0), 8);
     let entry = Backend { state: BackendState::Ready, ..Backend::default() };
-    let upstream = Upstream::new(Target { backend: entry, address });
+    let upstream = Rc::new(Upstream::new(Target { backend: entry, address }));
     let call = Call { head: Request::new(()), body: Bytes::new(), client_left: Box::new(|| false) };
     let body = |ended: Ended| ended.answer.map(Response::into_body);
     let times = Times { send_by: None, deadline: clock.now() + second.times(30.0) };
@@ -54,3 +54,60 @@
     assert_eq!(bodies.await, (Some(Bytes::from("1")), Some(Bytes::from("2"))));
     assert_eq!(backend.join().expect("no panic"), 0, "not a byte of the second request on the first");
 }
+
+/// A connection to a backend that holds the first `count` requests' answers until all have come, so that each has a
+/// connection of its own.
+fn backend_of(count: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    std::thread::spawn(move || {
+        let streams: Vec<TcpStream> = (0..count)
+            .map(|_| {
+                let mut stream = listener.accept().expect("a connection").0;
+                take_request(&mut stream);
+                stream
+            })
+            .collect();
+        for mut stream in &streams {
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").expect("written");
+        }
+        let _ = listener.accept(); // never: the connections stay open
+    });
+    address
+}
+
+/// Of many backends only those that hold idle connections are looked at, and each of those stays in view until it
+/// holds none.
+#[tokio::test]
+async fn only_backends_with_idle_connections_are_swept() {
+    let (clock, second) = (Clock::new(), Micros(1_000_000));
+    let pool = Rc::new(Pool::new(clock, second, second.times(600.0), 64));
+    let call = Rc::new(Call { head: Request::new(()), body: Bytes::new(), client_left: Box::new(|| false) });
+    let times = Times { send_by: None, deadline: clock.now() + second.times(30.0) };
+    let entry = |id| Backend { id, state: BackendState::Ready, ..Backend::default() };
+    let upstream =
+        |n, address| Rc::new(Upstream::new(Target { backend: entry(beechworks::BackendId(n)), address }));
+    let (one, three) = (upstream(1, backend_of(1)), upstream(2, backend_of(3)));
+    let _unused: Vec<_> = (3..1000).map(|n| upstream(n, SocketAddr::from(([127, 0, 0, 1], 9)))).collect();
+    let local = tokio::task::LocalSet::new();
+    let attempts = [&one, &three, &three, &three].map(|to| {
+        let (pool, call, to) = (pool.clone(), call.clone(), to.clone());
+        local.spawn_local(async move { pool.attempt(&to, &call, times, &Stage::default()).await.outcome })
+    });
+    let look = async {
+        for attempt in attempts {
+            assert_eq!(attempt.await.expect("no panic"), Outcome::Ok);
+        }
+        let held = || (pool.idle(), pool.holders.borrow().len());
+        assert_eq!(held(), (4, 2));
+        pool.sweep().await;
+        assert_eq!(held(), (4, 2), "they live and are kept");
+        three.shut();
+        pool.sweep().await;
+        assert_eq!(held(), (1, 1));
+        assert_eq!(pool.give_way(5), Some(one.target.address));
+        pool.sweep().await;
+        assert_eq!(held(), (0, 0));
+    };
+    local.run_until(look).await;
+}
