--- a/src/bin/gaugesaddle/server.rs
+++ b/src/bin/gaugesaddle/server.rs
@@ -1,9 +1,9 @@
 //! The client side: connections, and a request from its first byte to its answer.
 
-use crate::client::Socket;
+use crate::client::{Presence, Socket};
 use crate::clock::{duration, Clock};
 use crate::driver::{Answer, Arrived, Input, Status};
-use crate::form::{self, Rules, Wrong};
+use crate::request::{check_framing, Rejection, Rules};
 use crate::upstream::{strip, Call, BODY_BYTES};
 use beechworks::{Micros, RequestId, Time};
 use bytes::Bytes;
@@ -102,6 +102,7 @@
 /// A client connection.
 pub struct Link {
     opened: Time,
+    presence: Presence,
     phase: Cell<Phase>,
     /// It has brought a request.
     used: Cell<bool>,
@@ -111,9 +112,9 @@
 }
 
 impl Link {
-    fn new(now: Time) -> Link {
-        let phase = Cell::new(Phase::Waiting(now));
-        Link { opened: now, phase, used: Cell::default(), told: Cell::default(), close: Notify::new() }
+    fn new(now: Time, presence: Presence) -> Link {
+        let (phase, used, told) = (Cell::new(Phase::Waiting(now)), Cell::default(), Cell::default());
+        Link { opened: now, presence, phase, used, told, close: Notify::new() }
     }
 
     /// Tells it to close unless it was told a moment ago.
@@ -213,10 +214,14 @@
                 },
             }
         }
-        self.accept_the_rest(listener);
+        let mut queue = listener.into_std().ok();
         // What was taken before SIGTERM may have all of its time; what has come since ends sooner.
         let last = Instant::now() + duration(self.rules.longest + KILL);
-        while !self.links.borrow().is_empty() && Instant::now() < last {
+        loop {
+            queue = queue.filter(|listener| self.accept_the_rest(listener));
+            if (queue.is_none() && self.links.borrow().is_empty()) || Instant::now() >= last {
+                break;
+            }
             let now = self.clock.now();
             let late = self.stopping.get().is_some_and(|stop| now - stop.at >= LAST_FIRST);
             let between =
@@ -236,16 +241,23 @@
     }
 
     /// What the kernel has accepted meanwhile counts as taken, also where the runtime has not seen it yet: the
-    /// socket itself is asked until it has no more.
-    fn accept_the_rest(self: &Rc<Self>, listener: TcpListener) {
-        let Ok(listener) = listener.into_std() else { return };
-        while let Ok((stream, _)) = listener.accept() {
-            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+    /// socket itself is asked, as places come free, until it has no more. Tells whether it may have more.
+    fn accept_the_rest(self: &Rc<Self>, listener: &std::net::TcpListener) -> bool {
+        while self.links.borrow().len() < self.most {
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)),
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
+                Err(e) => Err(e),
+            };
             match stream {
                 Ok(stream) => self.clone().serve(stream),
-                Err(e) => tracing::warn!("accept: {e}"),
+                Err(e) => {
+                    tracing::warn!("accept: {e}");
+                    break;
+                }
             }
         }
+        true
     }
 
     fn close_overdue(&self) {
@@ -267,7 +279,8 @@
 
     fn serve(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now())));
+        let socket = Socket::new(stream);
+        let (number, link) = (self.number(), Rc::new(Link::new(self.clock.now(), socket.presence())));
         self.links.borrow_mut().insert(number, link.clone());
         tokio::task::spawn_local(async move {
             let _gone = Gone { number, server: &self };
@@ -275,7 +288,6 @@
             let service = hyper::service::service_fn(|request| Box::pin(self.handle(request, &link, &wrong)));
             let mut http = http1::Builder::new();
             http.max_buf_size(HEAD_BYTES).header_read_timeout(None);
-            let socket = Socket::new(stream);
             let mut connection = http.serve_connection(TokioIo::new(socket.clone()), service);
             let (mut told, mut spared) = (false, false);
             let ended = loop {
@@ -331,7 +343,7 @@
         link.phase.set(Phase::Waiting(self.clock.now()));
         link.used.set(true);
         wrong.set(answer.is_err());
-        let mut answer = answer.unwrap_or_else(|Wrong(status, text)| plain(status, text));
+        let mut answer = answer.unwrap_or_else(|Rejection(status, text)| plain(status, text));
         if wrong.get() && answer.status() == StatusCode::SERVICE_UNAVAILABLE {
             answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
         }
@@ -341,11 +353,13 @@
         Ok(answer)
     }
 
-    async fn answer(&self, request: Request<Incoming>, link: &Link) -> Result<Response<Full<Bytes>>, Wrong> {
+    async fn answer(
+        &self, request: Request<Incoming>, link: &Link,
+    ) -> Result<Response<Full<Bytes>>, Rejection> {
         let came = self.clock.now();
         let (mut head, body) = request.into_parts();
         let length = body.size_hint().exact();
-        form::framing(&head, length)?;
+        check_framing(&head, length)?;
         if head.uri.path() == "/-/ready" && length == Some(0) {
             let ready = self.status.serving.get() && self.stopping.get().is_none();
             return Ok(if ready {
@@ -354,35 +368,35 @@
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             });
         }
-        let form = self.rules.read(&head, length)?;
+        let metadata = self.rules.parse(&head, length)?;
         let _room = self.room(length.unwrap_or(0) as usize)?;
         let due = self.clock.instant(link.body_due(came));
         let body = match tokio::time::timeout_at(due, Limited::new(body, BODY_BYTES).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => return Err("the body is broken".into()),
-            Err(_) => return Err(Wrong(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+            Err(_) => return Err(Rejection(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
-        if !self.ids.borrow_mut().insert(form.id.clone()) {
-            return Err(Wrong(StatusCode::CONFLICT, "X-Correlation-Id: that of a request that is open"));
+        if !self.ids.borrow_mut().insert(metadata.id.clone()) {
+            return Err(Rejection(StatusCode::CONFLICT, "X-Correlation-Id: that of a request that is open"));
         }
         link.phase.set(Phase::Taken);
         let request = RequestId(self.number());
-        let mut ticket = Ticket { request, id: form.id, server: self, answered: false };
+        let mut ticket = Ticket { request, id: metadata.id, server: self, answered: false };
         strip(&mut head.headers);
         let mut sent = Request::new(());
         *sent.method_mut() = head.method;
         *sent.uri_mut() = head.uri.path_and_query().map(|p| p.clone().into()).unwrap_or_default();
         *sent.headers_mut() = head.headers;
-        let (reply, answer) = oneshot::channel();
-        let deadline = came + Micros(form.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0));
+        let (presence, (reply, answer)) = (link.presence.clone(), oneshot::channel());
+        let deadline = came + Micros(metadata.time_left.0.saturating_sub(MARGIN_TICKS * self.tick.0));
         let arrived = Input::Arrived(Arrived {
             id: request,
-            class: form.class,
-            tenant: form.tenant,
+            class: metadata.class,
+            tenant: metadata.tenant,
             deadline: self.stopping.get().map_or(deadline, |stop| deadline.min(stop.answered_by)),
-            work_hint: form.work_hint,
-            repeat: form.repeat,
-            call: Rc::new(Call { head: sent, body }),
+            work_hint: metadata.work_hint,
+            repeat: metadata.repeat,
+            call: Rc::new(Call { head: sent, body, client_left: Box::new(move || presence.has_left()) }),
             reply,
         });
         let _ = self.inputs.send(arrived);
@@ -401,10 +415,10 @@
     }
 
     /// Room for a body of that size; without it many large ones together would use up the memory.
-    fn room(&self, bytes: usize) -> Result<Room<'_>, Wrong> {
+    fn room(&self, bytes: usize) -> Result<Room<'_>, Rejection> {
         let free = &self.body_room;
         let left = free.get().checked_sub(bytes);
-        free.set(left.ok_or(Wrong(StatusCode::SERVICE_UNAVAILABLE, "too many large requests at once"))?);
+        free.set(left.ok_or(Rejection(StatusCode::SERVICE_UNAVAILABLE, "too many large requests at once"))?);
         Ok(Room { bytes, server: self })
     }
 }
--- a/src/bin/gaugesaddle/upstream.rs
+++ b/src/bin/gaugesaddle/upstream.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
@@ -36,6 +37,8 @@
 pub struct Call {
     pub head: Request<()>,
     pub body: Bytes,
+    /// Whether its client has left; asked right before the first byte of each attempt.
+    pub client_left: Box<dyn Fn() -> bool>,
 }
 
 /// The times of an attempt.
@@ -51,10 +54,20 @@
 pub struct Stage(RefCell<Option<Rc<Progress>>>);
 
 impl Stage {
+    /// It goes out on the connection with that progress.
+    pub fn sends(&self, progress: Rc<Progress>) {
+        *self.0.borrow_mut() = Some(progress);
+    }
+
     /// Some byte of the request was handed to the socket. Until then it has not been sent.
     pub fn begun(&self) -> bool {
         self.0.borrow().as_ref().is_some_and(|progress| progress.begun.get())
     }
+
+    /// All of its bytes were. Until then it can't run.
+    pub fn whole(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|progress| progress.whole.get())
+    }
 }
 
 /// How an attempt ended, with the answer if it was served.
@@ -77,6 +90,8 @@
     /// New requests may go to it; asked again before the first byte of each.
     pub open: Cell<bool>,
     idle: RefCell<Vec<(Time, Idle)>>,
+    /// It stands among those that may hold idle connections.
+    listed: Cell<bool>,
 }
 
 /// A connection that waits for its next request, and its place in the count of these.
@@ -85,12 +100,7 @@
 impl Upstream {
     pub fn new(target: Target) -> Upstream {
         let open = Cell::new(target.backend.state == BackendState::Ready);
-        Upstream { target, open, idle: RefCell::default() }
-    }
-
-    /// Closes an idle connection, if there is one.
-    pub fn give_way(&self) -> bool {
-        self.idle.borrow_mut().pop().is_some()
+        Upstream { target, open, idle: RefCell::default(), listed: Cell::default() }
     }
 
     /// Nothing new goes to it from now on.
@@ -112,13 +122,15 @@
 
 impl Link {
     /// Sends the request and reads the whole answer while running the connection, whose own end shows in what
-    /// the exchange gets.
+    /// the exchange gets. The exchange goes first: its request is written before anything else can come between.
     async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Ended, ()> {
         let mut exchange = std::pin::pin!(exchange(&mut self.sender, request));
         poll_fn(|cx| {
-            if !self.ended {
-                self.ended = self.driving.as_mut().poll(cx).is_ready();
+            let ended = exchange.as_mut().poll(cx);
+            if self.ended || ended.is_ready() {
+                return ended;
             }
+            self.ended = self.driving.as_mut().poll(cx).is_ready();
             exchange.as_mut().poll(cx)
         })
         .await
@@ -161,6 +173,8 @@
     /// Those of them that are idle, and how many may be.
     idle: Rc<Cell<usize>>,
     keep: Cell<usize>,
+    /// The backends that may hold idle connections: few beside all that are listed.
+    holders: RefCell<VecDeque<Rc<Upstream>>>,
 }
 
 impl Pool {
@@ -168,7 +182,7 @@
     pub fn new(clock: Clock, dial_timeout: Micros, conn_idle: Micros, most: usize) -> Pool {
         let idle_limit = conn_idle.times(IDLE_PART);
         let (sockets, idle, keep) = (Rc::default(), Rc::default(), Cell::new(usize::MAX));
-        Pool { clock, dial_timeout, idle_limit, sockets, most, idle, keep }
+        Pool { clock, dial_timeout, idle_limit, sockets, most, idle, keep, holders: RefCell::default() }
     }
 
     /// Connections that wait for their next request.
@@ -176,29 +190,47 @@
         self.idle.get()
     }
 
-    /// Bounds these; tells how many are too many.
-    pub fn keep(&self, most: usize) -> usize {
+    /// Bounds these; those that are too many are closed.
+    pub fn keep(&self, most: usize) {
         self.keep.set(most);
-        self.idle.get().saturating_sub(most)
+        self.give_way(self.idle.get().saturating_sub(most));
+    }
+
+    /// Closes so many idle connections, or all there are; tells to whom the last of them was.
+    pub fn give_way(&self, count: usize) -> Option<SocketAddr> {
+        let holders = self.holders.borrow();
+        let idle =
+            holders.iter().flat_map(|u| std::iter::from_fn(move || u.idle.borrow_mut().pop().map(|_| u)));
+        idle.take(count).last().map(|u| u.target.address)
     }
 
     /// Keeps a connection for the next request, if it may.
-    fn put_back(&self, upstream: &Upstream, since: Time, link: Link) {
+    fn put_back(&self, upstream: &Rc<Upstream>, since: Time, link: Link) {
         if upstream.open.get() && self.idle.get() < self.keep.get() {
             upstream.idle.borrow_mut().push((since, (link, Counted::new(&self.idle))));
+            if !upstream.listed.replace(true) {
+                self.holders.borrow_mut().push_back(upstream.clone());
+            }
         }
     }
 
-    /// Closes the connections that have stood idle for too long, or that the other side has closed.
-    pub async fn sweep(&self, upstream: &Upstream) {
-        let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
-        let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.0));
-        kept.retain(|(since, _)| *since > oldest);
-        for (since, (mut link, counted)) in kept {
-            drop(counted);
-            if link.alive().await {
-                self.put_back(upstream, since, link);
+    /// Closes the connections that have stood idle for too long, or that the other side has closed. Only backends
+    /// that may hold some are looked at, and other work comes between two of them.
+    pub async fn sweep(&self) {
+        let count = self.holders.borrow().len();
+        for _ in 0..count {
+            let Some(upstream) = self.holders.borrow_mut().pop_front() else { return };
+            upstream.listed.set(false);
+            let mut kept = std::mem::take(&mut *upstream.idle.borrow_mut());
+            let oldest = Time(self.clock.now().0.saturating_sub(self.idle_limit.0));
+            kept.retain(|(since, _)| *since > oldest);
+            for (since, (mut link, counted)) in kept {
+                drop(counted);
+                if link.alive().await {
+                    self.put_back(&upstream, since, link);
+                }
             }
+            tokio::task::yield_now().await;
         }
     }
 
@@ -208,11 +240,11 @@
     }
 
     /// The pooled connection that was used last, if the backend has not closed it.
-    async fn pooled(&self, upstream: &Upstream) -> Option<Link> {
+    async fn pooled(&self, upstream: &Upstream) -> Option<(Time, Link)> {
         loop {
             let (since, (mut link, _)) = upstream.idle.borrow_mut().pop()?;
             if self.clock.now() - since < self.idle_limit && link.alive().await {
-                return Some(link);
+                return Some((since, link));
             }
         }
     }
@@ -237,15 +269,15 @@
     }
 
     /// One attempt. It ends by itself or is dropped, which closes its connection.
-    pub async fn attempt(&self, upstream: &Upstream, call: &Call, times: Times, stage: &Stage) -> Ended {
+    pub async fn attempt(&self, upstream: &Rc<Upstream>, call: &Call, times: Times, stage: &Stage) -> Ended {
         loop {
             let pooled = self.pooled(upstream).await;
             let fresh = pooled.is_none();
             let link = match pooled {
                 Some(link) => Ok(link),
-                None => self.connect(upstream.target.address).await,
+                None => self.connect(upstream.target.address).await.map(|link| (self.clock.now(), link)),
             };
-            let mut link = match link {
+            let (idle_since, mut link) = match link {
                 Ok(link) => link,
                 Err(outcome) => return outcome.into(),
             };
@@ -253,9 +285,13 @@
             if !upstream.open.get() || times.send_by.is_some_and(|by| self.clock.now() >= by) {
                 return Outcome::NeverSent.into();
             }
+            if (call.client_left)() {
+                self.put_back(upstream, idle_since, link);
+                return Outcome::NeverSent.into();
+            }
             let left = (times.deadline - self.clock.now()).0 / 1000;
             link.progress.restart();
-            *stage.0.borrow_mut() = Some(link.progress.clone());
+            stage.sends(link.progress.clone());
             return match link.exchange(request(call, left)).await {
                 Ok(mut ended) => {
                     ended.crowded &= fresh;
@@ -351,61 +387,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use beechworks::Backend;
-    use std::io::{Read, Write};
-    use std::net::{TcpListener, TcpStream};
-
-    fn take_request(stream: &mut TcpStream) {
-        let mut seen = Vec::new();
-        while !seen.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            stream.read_exact(&mut byte).expect("a request");
-            seen.push(byte[0]);
-        }
-    }
-
-    /// What comes late behind an answer must not become the next one, also where the runtime has not seen it:
-    /// here it has had no time to look between the two attempts.
-    #[tokio::test]
-    async fn a_late_surplus_does_not_become_the_next_answer() {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("its address");
-        let (next, turn) = std::sync::mpsc::channel();
-        let (done, surplus) = std::sync::mpsc::channel();
-        let backend = std::thread::spawn(move || {
-            let answer = |body| format!("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{body}");
-            let mut first = listener.accept().expect("a connection").0;
-            take_request(&mut first);
-            first.write_all(answer("1").as_bytes()).expect("written");
-            turn.recv().expect("the answer was read");
-            first.write_all(answer("x").as_bytes()).expect("written");
-            done.send(()).expect("waited for");
-            let mut second = listener.accept().expect("another connection").0;
-            take_request(&mut second);
-            second.write_all(answer("2").as_bytes()).expect("written");
-            first.read(&mut [0]).unwrap_or(0) // closed with the surplus unread, it is reset
-        });
-        let clock = Clock::new();
-        let second = Micros(1_000_000);
-        let pool = Pool::new(clock, second, second.times(30.0), 8);
-        let entry = Backend { state: BackendState::Ready, ..Backend::default() };
-        let upstream = Upstream::new(Target { backend: entry, address });
-        let call = Call { head: Request::new(()), body: Bytes::new() };
-        let body = |ended: Ended| ended.answer.map(Response::into_body);
-        let times = Times { send_by: None, deadline: clock.now() + second.times(30.0) };
-        // Local tasks, as in the proxy: woken ones run on for a while before the runtime looks at its sockets.
-        let attempts = async move {
-            let stage = Stage::default();
-            let one = body(pool.attempt(&upstream, &call, times, &stage).await);
-            next.send(()).expect("waited for");
-            surplus.recv().expect("written");
-            (one, body(pool.attempt(&upstream, &call, times, &stage).await))
-        };
-        let local = tokio::task::LocalSet::new();
-        let bodies = local.run_until(async { tokio::task::spawn_local(attempts).await.expect("no panic") });
-        assert_eq!(bodies.await, (Some(Bytes::from("1")), Some(Bytes::from("2"))));
-        assert_eq!(backend.join().expect("no panic"), 0, "not a byte of the second request on the first");
-    }
-}
+mod tests;
