A list may take an eighth of the memory: 17,000 indented lines with long names fit

To blame: LIST_BYTES in discovery.rs, 4 MB whatever memory the proxy has.

The change: the bound is an eighth of limits.memory_mb, and 4 MB at least; 8 MB of 64 MB.

--- a/src/bin/gaugesaddle/config.rs
+++ b/src/bin/gaugesaddle/config.rs
@@ -28,6 +28,8 @@
     pub dial_timeout: Micros,
     /// The longest time that a client waits.
     pub longest: Micros,
+    /// A list of backends is read up to so many bytes.
+    pub list_bytes: usize,
     /// The document as it was read, without `known`.
     pub document: Value,
 }
@@ -86,6 +88,11 @@
     }
 }
 
+/// The text of a list may take this part of the memory while it is read: of 64 MB the 8 MB that 17,000 lines with
+/// long names take when they are indented.
+const LIST_PART: usize = 8;
+/// However little memory is told, a list may have so many bytes: some thousand lines.
+const LIST_LEAST: usize = 4 << 20;
 /// Fewer descriptors leave no room for clients, backends and discovery.
 const LEAST_SOCKETS: u32 = 64;
 
@@ -128,6 +135,7 @@
         seed: seed.want(hex, "up to 16 hex digits")?,
         sockets: sockets.want(enough, "at least 64")? as usize,
         memory,
+        list_bytes: (memory / LIST_PART).max(LIST_LEAST),
         known,
         module,
         names,
--- a/src/bin/gaugesaddle/discovery.rs
+++ b/src/bin/gaugesaddle/discovery.rs
@@ -34,9 +34,6 @@
 /// to come well within the grace after that.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
 
-/// The longest list that is read: some thousand lines.
-const LIST_BYTES: usize = 4 << 20;
-
 /// Why a call brought nothing.
 enum Missed {
     Failed(String),
@@ -99,6 +96,8 @@
     pub watching: bool,
     pub follow: std::rc::Rc<Notify>,
     pub inputs: mpsc::UnboundedSender<Input>,
+    /// A list is read up to so many bytes.
+    pub longest: usize,
     /// For waits that differ from those of other proxies.
     pub random: Pcg32,
 }
@@ -193,7 +192,7 @@
                 Some(line) if !line.sender.is_closed() => line,
                 _ => line.insert(dial(address).await?),
             };
-            ask(line, address, &path, LIST_BYTES).await
+            ask(line, address, &path, self.longest).await
         };
         let call = tokio::time::timeout(time, answer);
         tokio::pin!(call);
--- a/src/bin/gaugesaddle/discovery/tests.rs
+++ b/src/bin/gaugesaddle/discovery/tests.rs
@@ -63,7 +63,7 @@
     let follow = Rc::new(Notify::new());
     let watching = mode == Discovery::Push;
     let random = rand_core::SeedableRng::seed_from_u64(3);
-    let watch = Watch { mode, index, watching, follow: follow.clone(), inputs, random };
+    let watch = Watch { mode, index, watching, follow: follow.clone(), inputs, longest: 4 << 20, random };
     let (_held, addresses) = tokio::sync::watch::channel(address);
     let local = tokio::task::LocalSet::new();
     local.spawn_local(service(listener, script, seen));
@@ -171,7 +171,15 @@
     let (seen, mut came) = mpsc::unbounded_channel();
     let random = rand_core::SeedableRng::seed_from_u64(3);
     // Nobody asks: the module waits.
-    let watch = Watch { mode, index: Some(5), watching: false, follow: Rc::default(), inputs, random };
+    let watch = Watch {
+        mode,
+        index: Some(5),
+        watching: false,
+        follow: Rc::default(),
+        inputs,
+        longest: 4 << 20,
+        random,
+    };
     let (told, addresses) = tokio::sync::watch::channel(SocketAddr::from(([127, 0, 0, 1], 9)));
     let local = tokio::task::LocalSet::new();
     local.spawn_local(service(listener, vec![Reply::List(2)], seen));
--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -109,6 +109,7 @@
         index: config.known.as_ref().map(|k| k.index),
         follow: follow.clone(),
         inputs: sender.clone(),
+        longest: config.list_bytes,
         random: Pcg32::seed_from_u64(config.seed),
     };
     // An empty list is news too: the module acts on events alone, and without a first one it would never ask.
--- a/tests/ready.rs
+++ b/tests/ready.rs
@@ -108,3 +108,36 @@
         }
     }
 }
+
+/// The whole list of a large fleet, with long names and indented, fits into 64 MB; one that would take a larger part
+/// of the memory is refused.
+#[test]
+fn with_a_long_list() {
+    let backend = Backend::start(|_| ok("x"));
+    let long = |count: usize, blanks: usize| {
+        let lines: Vec<Value> = (0..count)
+            .map(|n| {
+                line(&format!("{n:05}-{}", "long".repeat(42)), backend.address, "ready", 1_700_000_000_000)
+            })
+            .collect();
+        let list = json!({"index": 3, "snapshot": true, "endpoints": lines});
+        serde_json::to_string_pretty(&list).unwrap().replace("  ", &" ".repeat(blanks))
+    };
+    let (fits, beyond) = (long(17_000, 4), long(17_000, 8));
+    assert!(
+        (7 << 20..8 << 20).contains(&fits.len()) && beyond.len() > 8 << 20,
+        "{} {}",
+        fits.len(),
+        beyond.len()
+    );
+    let discovery = Discovery::start();
+    let mut config = with_known(discovery.address, "automatic", Value::Null);
+    config["limits"]["memory_mb"] = json!(64);
+    let proxy = Proxy::spawn(&config);
+    discovery.say(&beyond);
+    until("the refusal", || proxy.log().contains("length limit exceeded"));
+    assert_eq!(proxy.ready(), 503);
+    discovery.say(&fits);
+    until("ready", || proxy.ready() == 200);
+    assert_eq!(ask(&proxy, &request("read", 7000)).status(), 200);
+}
