Ration cold backends over all proxies, so that their sum keeps to the budget whatever comes

Ruled out: steady traffic with a known rate. The pool and the slots hold the sum near the capacity so long as backends answer by their capacity; falls need answers that come at once (turned away, failed) or no rate.

To blame: `budget` in src/cold.rs gave each proxy at least FALL_FLOOR, 3 a window: 900 with 300 proxies. `fall_part` bounded only the mean of first attempts, and was infinite with no rate. `fall_limit` took speeds that leap when backends go.

Change: the limit is divided over the proxies and each proxy's part, often below one request, is rounded by a rank from 0 to 1: floor(part + rank). The ranks (position x golden section + backend x root of two, modulo 1) are even over all proxies, so that the rations add up to the limit, give or take a few, by construction: nothing is shared or told. Every attempt, first or further, is held to the ration inside the sliding window. A proxy's first window grows from nothing, as it does not know what it sent before a restart. Those that have a ration draw the backend more, so that its share stays; what the fleet cannot place is refused as before, now counted over all proxies, not by this one's rations. With zones half of the ration goes by nearness, as the slots do. A request heavier than the ration takes a whole unused one.

--- a/src/cold.rs
+++ b/src/cold.rs
@@ -5,13 +5,12 @@
 use crate::logic::CONCURRENCY;
 use crate::state::*;
 
-/// Part of this proxy's fall budget that it uses: the rest is for skew between proxies and heavy work.
+/// Part of the fall limit that the proxies divide: the rest is for heavy work and errors of the estimate.
 const FALL_MARGIN: f64 = 0.8;
-/// Least budget of one proxy in a window: where its part is below one request the random draw by readiness
-/// keeps the sum of all proxies near a cold backend's capacity; less would throw its share at warm ones.
-const FALL_FLOOR: f64 = 3.0;
-/// Spreads of a random count that the whole traffic to a cold backend stays under the limit.
-const FALL_SPREADS: f64 = 3.0;
+/// Most of its ration that a proxy plans to use: the last of it would be sent only if asked for all the time.
+const FALL_USE: f64 = 0.65;
+/// Capacity of a backend of unknown speed, in parts of an even part of the traffic: that may be a burst.
+const UNKNOWN_SPEED: f64 = 0.5;
 
 /// The part of its capacity that a backend has if it needs that part of the longest ramp to warm.
 pub(crate) fn warmth(cfg: &Config, now: Time, entry: &Backend, ramp: f64) -> f64 {
@@ -24,28 +23,63 @@
     /// Work that all proxies may send to a cold backend in a fall window; infinite once it is warm.
     pub(crate) fn fall_limit(&self, now: Time, p: &BackendRecord) -> f64 {
         let warmth = warmth(&self.cfg, now, &p.entry, 1.0);
-        if warmth >= 1.0 {
+        if warmth >= 1.0 || self.cfg.fall_window == Micros(0) {
             return f64::INFINITY;
         }
-        let fair =
-            self.rate.per_s().unwrap_or(1.0) * f64::from(self.cfg.proxies) / self.backends.len() as f64;
         // Beside few ready backends the flow overshoots; one that holds no more than the target is no faster.
-        let known = |k: &Kind| k.latency.get().map(|t| k.speed.min((1.0 + CONCURRENCY) / t));
-        let speed = self.kinds.get(&p.entry.kind).and_then(known).unwrap_or(fair);
+        let known = |k: &Kind| k.latency.get().map(|t| k.proven_speed.min((1.0 + CONCURRENCY) / t));
+        let speed = self.kinds.get(&p.entry.kind).and_then(known).unwrap_or_else(|| {
+            let rate = self.rate.per_s().unwrap_or(1.0) * f64::from(self.cfg.proxies);
+            rate / self.backends.len() as f64 * UNKNOWN_SPEED
+        });
         self.cfg.fall_multiple * warmth * speed * self.cfg.fall_window.secs()
     }
 
-    /// The greatest part of the traffic whose random count stays some spreads under the fall limit.
-    pub(crate) fn fall_part(&self, now: Time, p: &BackendRecord) -> f64 {
-        let root =
-            ((FALL_SPREADS * FALL_SPREADS + 4.0 * self.fall_limit(now, p)).sqrt() - FALL_SPREADS) / 2.0;
-        let rate = self.rate.per_s().unwrap_or(0.0) * f64::from(self.cfg.proxies);
-        root * root / (rate * self.cfg.fall_window.secs()).max(1e-9)
+    /// Whether a backend's ration has room for so much work; one heavier than the ration may have it whole.
+    pub(crate) fn may_take(&self, now: Time, p: &BackendRecord, work: f64) -> bool {
+        if p.ration == f64::INFINITY {
+            return true;
+        }
+        let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
+        p.ration - spent >= work || (spent == 0.0 && p.ration >= 1.0)
     }
+}
 
-    /// Work that this proxy may still send to a cold backend inside the present fall window.
-    pub(crate) fn budget(&self, now: Time, p: &BackendRecord) -> f64 {
-        let spent: f64 = p.spent.iter().filter(|s| now - s.0 < self.cfg.fall_window).map(|s| s.1).sum();
-        (self.fall_limit(now, p) / f64::from(self.cfg.proxies) * FALL_MARGIN).max(FALL_FLOOR) - spent
+/// What a proxy may do with a backend.
+pub(crate) struct Ration {
+    /// Work that it may send inside any fall window.
+    pub work: f64,
+    /// Part of the traffic that the fleet can so give the backend.
+    pub planned: f64,
+    /// Part of this proxy's traffic to draw it with, so that it comes to that.
+    pub share: f64,
+}
+
+/// This proxy's ration of a backend that all together may send `limit` work in a window; `flow` is what comes
+/// to this proxy in one, `want` the part of it that the backend is due, `passed` the part of a window that it
+/// has run. A proxy's part of the limit is mostly below one request. Rounded by rank it is one for some
+/// proxies and none for the others, so that all together keep to the limit whatever comes, also with no rate
+/// known and for further attempts, and those that have one draw the backend that much more.
+pub(crate) fn ration(
+    cfg: &Config, id: BackendId, limit: f64, passed: f64, flow: f64, want: f64, bias: f64,
+) -> Ration {
+    if limit == f64::INFINITY {
+        return Ration { work: limit, planned: want, share: want };
     }
+    // As with the slots, half goes by this proxy's part of the backend's traffic, half evenly.
+    let mean = limit * FALL_MARGIN / f64::from(cfg.proxies) * (0.5 + 0.5 * bias);
+    let planned = want.min(FALL_USE * mean / flow.max(1e-9));
+    let work = (mean * passed + rank(cfg, id)).floor();
+    // One request uses a ration up and closes the backend until the window is over; larger ones last.
+    let closed = (planned * flow / mean.max(1e-9)) * (1.0 - mean).max(0.0);
+    let share = if work > 0.0 { planned * work / mean / (1.0 - closed) } else { 0.0 };
+    Ration { work, planned, share }
+}
+
+/// This proxy's rank for a backend, from 0 to 1. Multiples of two irrational numbers (the golden section, the
+/// root of two) are spread evenly over all proxies, those of one zone or release, and a proxy's backends.
+fn rank(cfg: &Config, id: BackendId) -> f64 {
+    let proxy = u64::from(cfg.position).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mark = proxy.wrapping_add(id.0.wrapping_mul(0x6a09_e667_f3bc_c909));
+    (mark >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -71,6 +71,7 @@
         if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
+        self.started.get_or_insert(now);
         self.in_flight_mean.pass(now, self.in_use());
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
@@ -149,8 +150,7 @@
         let admitted = self.admitted(class, value);
         self.rate.add(now, f64::from(admitted));
         // Where cold backends are held to less than their parts, the rest of the traffic has no place.
-        let local_share: f64 = self.kinds.values().map(|k| k.local_share).sum();
-        if !admitted || (local_share > 0.0 && self.rng.unit() > local_share) {
+        if !admitted || (self.place > 0.0 && self.rng.unit() > self.place) {
             return self.give_up(new.request);
         }
         self.queue.push(new.request);
@@ -408,7 +408,7 @@
             _ => true,
         };
         let fresh = r.sent.iter().all(|s| s.to.id != p.entry.id && known(s));
-        p.entry.state == BackendState::Ready && fresh && self.budget(now, p) >= self.work(r.class)
+        p.entry.state == BackendState::Ready && fresh && self.may_take(now, p, self.work(r.class))
     }
 
     /// Worth to the goal of serving a request of each class, for each unit of work.
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -1,7 +1,7 @@
 //! The ordinary path's solution: readiness of every backend, speed and share of every kind (HALB), and each
 //! backend's part of this proxy's traffic.
 
-use crate::cold::warmth;
+use crate::cold::{ration, warmth};
 use crate::interface::*;
 use crate::logic::{CONCURRENCY, ERROR_MEMORY};
 use crate::state::*;
@@ -116,8 +116,13 @@
         self.kinds
             .values_mut()
             .for_each(|k| (k.local_share, k.line) = (0.0, Vec::with_capacity(k.line.len())));
-        let cold: Vec<f64> = self.backends.values().map(|p| self.fall_part(now, p)).collect();
-        for ((&id, p), most) in self.backends.iter_mut().zip(cold) {
+        let limits: Vec<f64> = self.backends.values().map(|p| self.fall_limit(now, p)).collect();
+        let window = self.cfg.fall_window.secs();
+        let flow = self.rate.per_s().unwrap_or(0.0) * window;
+        // What this proxy sent before a restart it does not know: it takes its rations over one window.
+        let passed = self.started.map_or(0.0, |at| ((now - at).secs() / window).min(1.0));
+        self.place = 0.0;
+        for ((&id, p), limit) in self.backends.iter_mut().zip(limits) {
             let here = due.get(&p.entry.zone).map_or(0.0, |d| d.max(1e-9));
             let far = (1.0 - own * zones).max(0.0) * (here * zones - 1.0).max(0.0) / rich.max(1e-9);
             let near = if p.entry.zone == self.cfg.zone { (own * zones).min(1.0) } else { far };
@@ -128,8 +133,10 @@
             let coin = ((turn % u64::from(self.cfg.proxies)) as f64 + 0.5) / proxies;
             let fair = CONCURRENCY / proxies * p.ready;
             p.slots = (fair * (0.5 + 0.5 * bias) + coin).floor().max(1.0);
+            let own = ration(&self.cfg, id, limit, passed, flow, part(&self.kinds, p) * bias, bias);
+            (p.ration, self.place) = (own.work, self.place + own.planned);
             // The trace takes the overflow where all that have a part are full.
-            p.local_share = (part(&self.kinds, p) * bias + p.ready * 1e-6).min(most);
+            p.local_share = own.share + p.ready * 1e-6;
             if p.ready > 0.0 {
                 let k = self.kinds.entry(p.entry.kind).or_default();
                 k.local_share += p.local_share;
--- a/src/state.rs
+++ b/src/state.rs
@@ -124,6 +124,8 @@
     pub ready: f64,
     /// Requests a second that one backend could serve.
     pub speed: f64,
+    /// The same, but it rises slowly: a rate that leaps, or backends that go, make nothing faster.
+    pub proven_speed: f64,
     /// Part of all proxies' traffic.
     pub share: f64,
     /// Lowest mean latency of late, s: that of an unloaded backend.
@@ -166,6 +168,8 @@
     pub ejected: Option<Time>,
     /// Ejections without a good answer between them.
     pub strikes: i32,
+    /// Work that this proxy may send it in a fall window; infinite unless it is cold.
+    pub ration: f64,
     /// Work sent inside the fall window.
     pub spent: Vec<(Time, f64)>,
 }
@@ -237,6 +241,9 @@
     /// Seconds between two visits of this proxy to the same backend, on average.
     pub(crate) gap: f64,
     pub(crate) extra: f64,
+    /// Part of the traffic that the backends can be given, and when this proxy's first event came.
+    pub(crate) place: f64,
+    pub(crate) started: Option<Time>,
     /// The shares are solved this often, and when.
     pub(crate) period: Micros,
     pub(crate) solved: Time,
@@ -274,6 +281,8 @@
             rate: Rate::default(),
             gap: 0.0,
             extra: 0.0,
+            place: 1.0,
+            started: None,
             // No answer is told late by less than an aim: estimates move no faster.
             period: cfg.classes.iter().map(|c| c.aim).min().unwrap_or_default(),
             solved: Time(0),
@@ -362,6 +371,10 @@
             let speed = k.latency.get().map_or(0.0, |t| 1.0 / t + flow);
             let weight = if k.latency.count < LATE_SAMPLES { 1.0 } else { (passed / SPEED_MEMORY).min(1.0) };
             k.speed += (speed - k.speed) * weight;
+            let fresh = weight == 1.0 || k.proven_speed == 0.0;
+            let toward = k.proven_speed + (speed - k.proven_speed) * weight;
+            let risen = k.proven_speed * (1.0 + UNLOADED_RISE * passed);
+            k.proven_speed = if fresh { speed } else { toward.min(risen) };
         }
         let speeds = self.kinds.values().filter(|k| k.speed > 0.0).map(|k| k.speed);
         let (sum, count) = speeds.fold((0.0, 0.0), |n, s| (n.0 + s, n.1 + 1.0));
