--- a/scale/tests/fleet.rs
+++ b/scale/tests/fleet.rs
@@ -77,7 +77,7 @@
 fn news_that_never_comes_is_found() {
     // Those that begin to drain here do so for good.
     let flaws = Flaws { mute: true, ..Flaws::default() };
-    let figures = play(&Setup { scenario: Scenario::Outage, secs: 24.0, flaws, ..calm() }, 3);
+    let figures = play(&Setup { scenario: Scenario::Outage, secs: 40.0, flaws, ..calm() }, 3);
     let failed = failed(&figures);
     for name in ["changes told to a proxy later than 6 s", "attempts later than 0.5 s after the 6 s"] {
         assert!(failed.contains(&name), "{name}: {:?}", figures.checks);
--- a/src/cold.rs
+++ b/src/cold.rs
@@ -70,8 +70,8 @@
     let mean = limit * FALL_MARGIN / sharers * (0.5 + 0.5 * bias);
     let planned = want.min(FALL_USE * mean / flow.max(1e-9));
     let work = (mean * passed + rank).floor();
-    // One that is used up is closed until the window is over: while open it is drawn more.
-    let closed = (planned * flow / mean.max(1e-9)).powf(work);
+    // One request uses a ration up and closes the backend until the window is over; larger ones last.
+    let closed = (planned * flow / mean.max(1e-9)) * (1.0 - mean).max(0.0);
     let share = if work > 0.0 { planned * work / mean / (1.0 - closed) } else { 0.0 };
     Ration { work, planned, share }
 }
