Let what is queued go out once silent backends have answered

Seen in a trial: 2 backends, 60 requests served in 1 ms, three sent and left for 60 ms, then answered; the next request went out 57 ticks of 5 ms later, with both backends idle.

To blame: suspect() in logic.rs takes back that a backend is silent, which makes room, but left the mark that first tries find none (blocked); pump then returned at once up to the next event or the next solving. Ruled out: slots and pool, both free. Change: the mark goes where somebody was silent. what_waits_for_silent_backends_goes_out_once_they_ have_answered fails without the change (1 and 3 proxies) and passes with it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -321,6 +321,9 @@
 
     /// Marks the backends that owe an answer for suspiciously long.
     fn suspect(&mut self, now: Time) {
+        if !self.silent.is_empty() {
+            self.blocked = 0.0; // who is silent no longer has room again
+        }
         for id in std::mem::take(&mut self.silent) {
             self.backends.get_mut(&id).into_iter().for_each(|p| p.silent = false);
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -528,3 +528,25 @@
         "{cold} of 300 went to the cold one, while its part of the capacity is under a hundredth"
     );
 }
+
+#[test]
+fn what_waits_for_silent_backends_goes_out_once_they_have_answered() {
+    // Requests that found only silent backends closed the queue. Their answers came, the next look found nobody
+    // silent any more, and still the queue stayed closed up to the next solving: an idle fleet held requests.
+    for proxies in [1, 3] {
+        let mut host = Host::new(Config { proxies, ..Config::example() }, 7);
+        host.members(ListUpdate::Full, vec![backend(0, 0, 0), backend(1, 0, 0)]);
+        for _ in 0..60 {
+            host.arrive(0, 900_000);
+            host.serve_all(1_000);
+        }
+        host.burst(3, 0, 900_000);
+        host.advance(60_000);
+        for (id, no) in host.out() {
+            host.end(id, no, Outcome::Ok);
+        }
+        let id = host.arrive(0, 900_000);
+        host.advance(10_000);
+        assert_eq!(host.sent_to(id).len(), 1, "{proxies} proxies: held beside idle backends");
+    }
+}
