Take the time of the start with the first event, also where a request comes before the list

Ruled out by a trace of each refusal: the admitted part and the place left (both 1), so that nothing fitted.

To blame: Subscription::started took the time of the start only where nothing had been asked yet. A request that comes before the list has the proxy ask at once; the list then counted as never current, and nothing as proven, up to the answer. The proxy itself gives the module its list first, so that only a host like that meets it.

--- a/src/subscription.rs
+++ b/src/subscription.rs
@@ -140,6 +140,9 @@
     /// Whether it is time to ask; that counts as asked.
     pub fn is_due(&mut self, now: Time, cfg: &Config) -> bool {
         let Discovery::Subscribe(within) = cfg.discovery else { return false };
+        if self.current == Time(0) {
+            self.current = now; // a request may come before the list that the process has
+        }
         let due = self.due.is_some_and(|at| now >= at);
         if due {
             self.call = if matches!(self.call, Call::None) { Call::Out(now) } else { Call::Waits };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -301,3 +301,19 @@
     trickle(&mut host, 900, |_| None);
     assert_eq!(host.keep, u32::MAX, "a bound wider than the fleet is none");
 }
+
+#[test]
+fn a_request_that_comes_before_the_old_list_does_not_make_it_an_untrusted_one() {
+    // The time of the start was taken with the list alone: where a request came first, the list counted as never
+    // current, and the proxy refused all until its first call was answered.
+    let discovery = Discovery::Subscribe(Micros(10_000_000));
+    let mut host = Host::new(Config { proxies: 30, discovery, ..Config::example() }, 3);
+    host.arrive(0, 900_000);
+    host.members(ListUpdate::Cached, (0..60).map(|i| backend(i, 0, 0)).collect());
+    let sent = (0..40).filter(|_| {
+        let id = host.arrive(0, 900_000);
+        host.serve_all(50_000);
+        !host.sent_to(id).is_empty()
+    });
+    assert_eq!(sent.count(), 40);
+}
