--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -317,3 +317,36 @@
     });
     assert_eq!(sent.count(), 40);
 }
+
+#[test]
+fn a_proxy_of_many_uses_its_part_of_a_large_list_and_fills_it_up_when_backends_go() {
+    // With all of 2,000 backends 700 requests would meet 590 of them, each once.
+    let mut host = Host::new(Config { proxies: 300, position: 77, zones: 2, ..Config::example() }, 5);
+    let list: Vec<Backend> = (0..2_000).map(|i| backend(i, i % 2, i % 3)).collect();
+    host.members(ListUpdate::Full, list.clone());
+    let used = |host: &mut Host| -> std::collections::BTreeSet<u32> {
+        trickle(host, 700, |_| None).into_iter().collect()
+    };
+    let before = used(&mut host);
+    assert!((180..=300).contains(&before.len()), "{} backends used", before.len());
+    // The host takes no request for a backend that drains; what the part lacks is filled from the rest.
+    let half: Vec<Backend> = list.iter().filter(|b| b.id.0 % 4 < 2).cloned().collect();
+    let drains = |b: &Backend| Backend { state: BackendState::Draining, ..b.clone() };
+    host.members(ListUpdate::Changes, half.iter().map(drains).collect());
+    let draining = used(&mut host);
+    assert!(draining.iter().all(|b| b % 4 >= 2), "sent to what drains");
+    let known = draining.intersection(&before).count();
+    assert!(
+        known * 10 >= draining.len() * 9,
+        "the part stays while they drain: {known} of {}",
+        draining.len()
+    );
+    let gone = |b: &Backend| Backend { state: BackendState::Gone, ..b.clone() };
+    host.members(ListUpdate::Changes, half.iter().map(gone).collect());
+    let after = used(&mut host);
+    assert!((180..=300).contains(&after.len()), "{} backends used", after.len());
+    let new = after.difference(&before).count();
+    assert!(new * 3 >= after.len(), "filled up: {new} of {}", after.len());
+    let served = host.requests.values().filter(|r| r.answer == Some("served")).count();
+    assert!(served >= 2_080, "{served} of 2100 served");
+}
