--- a/src/bin/gaugesaddle/main.rs
+++ b/src/bin/gaugesaddle/main.rs
@@ -6,7 +6,8 @@
 mod config;
 mod discovery;
 mod driver;
-mod form;
+mod list;
+mod request;
 mod server;
 mod upstream;
 mod wire;
@@ -86,7 +87,7 @@
     let pool = Rc::new(upstream::Pool::new(clock, config.dial_timeout, config.conn_idle, backends));
     let server = Rc::new(server::Server {
         clock,
-        rules: form::Rules {
+        rules: request::Rules {
             names: config.names,
             classes: config.module.classes.clone(),
             longest: config.longest,
@@ -108,11 +109,12 @@
         index: config.known.as_ref().map(|k| k.index),
         follow: follow.clone(),
         inputs: sender.clone(),
+        longest: config.list_bytes,
         random: Pcg32::seed_from_u64(config.seed),
     };
-    if let Some(known) = config.known {
-        let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known.targets));
-    }
+    // An empty list is news too: the module acts on events alone, and without a first one it would never ask.
+    let known = config.known.map_or_else(Vec::new, |known| known.targets);
+    let _ = sender.send(driver::Input::List(beechworks::ListUpdate::Cached, known));
     let driver =
         driver::Driver::new(clock, config.module, config.seed, config.open_cap, pool, sender, follow, status);
     let driver = driver.map_err(|e| format!("settings: {e}"))?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,6 +72,7 @@
         if !matches!(event, Event::Request(_) | Event::Timer { .. }) {
             self.blocked = 0.0; // those two make no room, and trying a long line in vain costs too much CPU
         }
+        self.started.get_or_insert(now);
         self.in_flight_mean.pass(now, self.in_use());
         match event {
             Event::Members { update, backends } => self.members(now, update, backends),
@@ -120,7 +121,7 @@
             }
         }
         self.wake_by(self.subscription.due.unwrap_or(self.due));
-        if self.take_list(update, list) {
+        if self.take_list(now, update, list) {
             self.backends.retain(|_, p| p.entry.state != BackendState::Gone || p.in_flight > 0);
             self.solve(now);
         }
@@ -151,8 +152,7 @@
         let admitted = self.admitted(class, value);
         self.rate.add(now, f64::from(admitted));
         // Where cold backends are held to less than their parts, the rest of the traffic has no place.
-        let local_share: f64 = self.kinds.values().map(|k| k.local_share).sum();
-        if !admitted || (local_share > 0.0 && self.rng.unit() > local_share) {
+        if !admitted || (self.place > 0.0 && self.rng.unit() > self.place) {
             return self.give_up(new.request);
         }
         self.queue.push(new.request);
@@ -192,7 +192,7 @@
 
     /// Many proxies cannot bound what a backend holds; each learns from its answers that all hold too much.
     fn adjust_admission(&mut self, brisk: bool) {
-        if f64::from(self.cfg.proxies) <= CONCURRENCY {
+        if self.sharers() <= CONCURRENCY {
             return; // the rooms of so few proxies bound it well enough
         }
         let step = ADMIT_STEP * (ADMIT_RATE / self.rate.per_s().unwrap_or(1.0)).min(1.0);
@@ -321,6 +321,9 @@
 
     /// Marks the backends that owe an answer for suspiciously long.
     fn suspect(&mut self, now: Time) {
+        if !self.silent.is_empty() {
+            self.blocked = 0.0; // who is silent no longer has room again
+        }
         for id in std::mem::take(&mut self.silent) {
             self.backends.get_mut(&id).into_iter().for_each(|p| p.silent = false);
         }
@@ -363,7 +366,7 @@
     /// Attempts that take room on backends in use. Among many proxies those on backends that are out of use
     /// or silent do not count: one that waits there for its deadline would keep ten others from the rest.
     fn in_use(&self) -> f64 {
-        if f64::from(self.cfg.proxies) <= CONCURRENCY {
+        if self.sharers() <= CONCURRENCY {
             return self.in_flight as f64;
         }
         let used = |id: &BackendId| self.backends.get(id).is_some_and(|p| p.ready > 0.0 && !p.silent);
@@ -413,7 +416,7 @@
         // What a list that may be out of date still calls ready has to have shown it: a backend that took a
         // request drained no sooner, and that counts as told only so much later.
         let listed = self.subscription.is_current(now, &self.cfg) || now - p.accepted < TOLD;
-        p.entry.state == BackendState::Ready && listed && fresh && self.budget(now, p) >= self.work(r.class)
+        p.entry.state == BackendState::Ready && listed && fresh && self.may_take(now, p, self.work(r.class))
     }
 
     /// Worth to the goal of serving a request of each class, for each unit of work.
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use crate::interface::*;
 use crate::logic::{BRISK, KIND_SAMPLES, LATENCY_CLIP, LATE_SAMPLES, SPEED_MEMORY, UNLOADED_RISE};
 use crate::subscription::Subscription;
+use crate::subset::Subset;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
@@ -124,6 +125,8 @@
     pub ready: f64,
     /// Requests a second that one backend could serve.
     pub speed: f64,
+    /// The same, but it rises slowly: a rate that leaps, or backends that go, make nothing faster.
+    pub proven_speed: f64,
     /// Part of all proxies' traffic.
     pub share: f64,
     /// Lowest mean latency of late, s: that of an unloaded backend.
@@ -168,6 +171,8 @@
     pub ejected: Option<Time>,
     /// Ejections without a good answer between them.
     pub strikes: i32,
+    /// Work that this proxy may send it in a fall window; infinite unless it is cold.
+    pub ration: f64,
     /// Work sent inside the fall window.
     pub spent: Vec<(Time, f64)>,
 }
@@ -239,6 +244,9 @@
     /// Seconds between two visits of this proxy to the same backend, on average.
     pub(crate) gap: f64,
     pub(crate) extra: f64,
+    /// Part of the traffic that the backends can be given, and when this proxy's first event came.
+    pub(crate) place: f64,
+    pub(crate) started: Option<Time>,
     /// The shares are solved this often, and when.
     pub(crate) period: Micros,
     pub(crate) solved: Time,
@@ -246,6 +254,7 @@
     pub(crate) due: Time,
     pub(crate) timer: (u64, Option<Time>),
     pub(crate) subscription: Subscription,
+    pub(crate) subset: Subset,
     pub(crate) idle_limit: IdleLimit,
     pub(crate) log_at: Time,
     pub(crate) actions: Vec<Action>,
@@ -276,12 +285,15 @@
             rate: Rate::default(),
             gap: 0.0,
             extra: 0.0,
+            place: 1.0,
+            started: None,
             // No answer is told late by less than an aim: estimates move no faster.
             period: cfg.classes.iter().map(|c| c.aim).min().unwrap_or_default(),
             solved: Time(0),
             due: Time(0),
             timer: (0, None),
             subscription: Subscription::new(&cfg),
+            subset: Subset::new(),
             idle_limit: IdleLimit::default(),
             log_at: Time(0),
             actions: Vec::new(),
@@ -303,6 +315,11 @@
         before.iter().filter(|s| !s.never_ran).map(|s| s.at + window).min()
     }
 
+    /// How many proxies share each backend that this one uses.
+    pub(crate) fn sharers(&self) -> f64 {
+        self.subset.sharers(&self.cfg)
+    }
+
     /// Asks for attention at that time at the latest.
     pub(crate) fn wake_by(&mut self, at: Time) {
         self.due = self.due.min(at);
@@ -328,8 +345,9 @@
     }
 
     /// Takes news of the list into the records; true if anything but weights changed.
-    pub(crate) fn take_list(&mut self, update: ListUpdate, list: Vec<Backend>) -> bool {
+    pub(crate) fn take_list(&mut self, now: Time, update: ListUpdate, list: Vec<Backend>) -> bool {
         let mut changed = false;
+        let (update, list) = self.subset.take(now, &self.cfg, update, list);
         if matches!(update, ListUpdate::Full | ListUpdate::Cached) {
             let named: BTreeSet<BackendId> = list.iter().map(|b| b.id).collect();
             for p in self.backends.values_mut().filter(|p| !named.contains(&p.entry.id)) {
@@ -364,6 +382,10 @@
             let speed = k.latency.get().map_or(0.0, |t| 1.0 / t + flow);
             let weight = if k.latency.count < LATE_SAMPLES { 1.0 } else { (passed / SPEED_MEMORY).min(1.0) };
             k.speed += (speed - k.speed) * weight;
+            let fresh = weight == 1.0 || k.proven_speed == 0.0;
+            let toward = k.proven_speed + (speed - k.proven_speed) * weight;
+            let risen = k.proven_speed * (1.0 + UNLOADED_RISE * passed);
+            k.proven_speed = if fresh { speed } else { toward.min(risen) };
         }
         let speeds = self.kinds.values().filter(|k| k.speed > 0.0).map(|k| k.speed);
         let (sum, count) = speeds.fold((0.0, 0.0), |n, s| (n.0 + s, n.1 + 1.0));
--- a/src/subscription.rs
+++ b/src/subscription.rs
@@ -110,8 +110,8 @@
                     Call::Waits => now,
                     _ => self.current,
                 };
-                // One call may be reset by chance. Where many are refused, shorter waits would only bring more
-                // calls a second at the return than the service can take.
+                // One call may be reset by chance. Where many are refused, shorter waits would only bring
+                // more calls a second at the return than the service can take.
                 let longer = if cfg.proxies > FEW && self.wait > 0.0 { most } else { self.wait * 2.0 };
                 self.wait = longer.clamp(SOON, most);
                 self.wait * (1.0 - REFUSED_CHANCE * unit)
@@ -140,6 +140,9 @@
     /// Whether it is time to ask; that counts as asked.
     pub fn is_due(&mut self, now: Time, cfg: &Config) -> bool {
         let Discovery::Subscribe(within) = cfg.discovery else { return false };
+        if self.current == Time(0) {
+            self.current = now; // a request may come before the list that the process has
+        }
         let due = self.due.is_some_and(|at| now >= at);
         if due {
             self.call = if matches!(self.call, Call::None) { Call::Out(now) } else { Call::Waits };
