--- a/src/subscription.rs
+++ b/src/subscription.rs
@@ -21,8 +21,8 @@
 /// A call that fails after this time, s, has stood in the queue: the service is up, with too much to do. What
 /// fails sooner was refused at the door or found nobody, and costs the service nothing.
 const QUEUED: f64 = 1.0;
-/// A call that is out for so long without failing has stood in every queue: it waits for news. One that may not
-/// wait is given up before that, and says nothing of the list.
+/// A call that is out for so long without failing has stood in every queue: it waits for news. One that may
+/// not wait is given up before that, and says nothing of the list.
 const THROUGH: Micros = Micros(4_000_000);
 /// Shortest wait after a refused call, s.
 const SOON: f64 = 0.1;
