Log event for a request that is sent on an unconfirmed endpoint list

At debug, the proxy now logs each request that is sent while no answer of discovery confirms the list: the backend, until when the list was fresh, the poll that has not been answered, and the newest request that the backend served, with the time at which that request's connection was established.

For the last figure the end of an attempt (AttemptEnd) carries that time. No decision reads it yet. The event does not count against the limit on log lines, and the simulator adapter leaves it out.

--- a/crates/balancer/src/backends/health.rs
+++ b/crates/balancer/src/backends/health.rs
@@ -1,6 +1,6 @@
 //! The health of one backend: its error rate, its ejections and whether it responds.
 
-use crate::{Micros, Time};
+use crate::{Acceptance, Micros, Time};
 
 /// Error rate to which that of a slow backend is raised. It is picked less then, and its next error
 /// ejects it; successes lower the rate again.
@@ -19,8 +19,8 @@
     error_rate: f64,
     /// When it last responded in any way; `Time(0)` if it never did.
     last_response_at: Time,
-    /// When the newest request that it served was sent: it was not draining then.
-    last_accepted_at: Time,
+    /// The newest request that it served.
+    last_acceptance: Option<Acceptance>,
     /// A response is suspiciously long overdue.
     unresponsive: bool,
     /// It is ejected, until this time at least.
@@ -40,9 +40,9 @@
         self.last_response_at
     }
 
-    /// When the newest request that it served was sent: it was not draining then.
-    pub fn last_accepted_at(&self) -> Time {
-        self.last_accepted_at
+    /// The newest request that it served.
+    pub fn last_acceptance(&self) -> Option<Acceptance> {
+        self.last_acceptance
     }
 
     /// Whether a response is suspiciously long overdue.
@@ -62,13 +62,20 @@
     }
 
     /// Records that it served a request. `weight` is that of this outcome in the error rate.
-    pub fn record_success(&mut self, now: Time, sent_at: Time, weight: f64) {
+    pub fn record_success(&mut self, now: Time, weight: f64) {
         self.last_response_at = now;
-        self.last_accepted_at = self.last_accepted_at.max(sent_at);
         self.error_rate *= 1.0 - weight;
         self.consecutive_ejections = 0;
     }
 
+    /// Records which request it served.
+    pub fn record_acceptance(&mut self, acceptance: Acceptance) {
+        let is_newer = |last: Acceptance| acceptance.sent_at >= last.sent_at;
+        if self.last_acceptance.is_none_or(is_newer) {
+            self.last_acceptance = Some(acceptance);
+        }
+    }
+
     /// Records that it responded with an error. `weight` is that of this outcome in the error rate.
     pub fn record_error(&mut self, now: Time, weight: f64) {
         self.last_response_at = now;
--- a/crates/balancer/src/backends/health/tests.rs
+++ b/crates/balancer/src/backends/health/tests.rs
@@ -15,7 +15,7 @@
     let mut health = BackendHealth::default();
     let lengths = [(); 4].map(|()| ejection_time(&mut health, START).0 / SECOND.0);
     assert_eq!(lengths, [1, 2, 4, 4]);
-    health.record_success(START, START, 0.2);
+    health.record_success(START, 0.2);
     assert_eq!(ejection_time(&mut health, START), SECOND);
 }
 
@@ -35,7 +35,7 @@
     let mut health = BackendHealth::default();
     health.record_error(START, 0.2);
     assert_eq!(health.error_rate(), 0.2);
-    health.record_success(START, START, 0.5);
+    health.record_success(START, 0.5);
     assert_eq!(health.error_rate(), 0.1);
     health.mark_suspect();
     assert_eq!(health.error_rate(), SUSPECT_ERROR_RATE);
--- a/crates/balancer/src/backends/outlier_detection.rs
+++ b/crates/balancer/src/backends/outlier_detection.rs
@@ -83,7 +83,7 @@
         let health = backend.health_mut();
         match end.outcome {
             Outcome::Success => {
-                health.record_success(now, attempt.sent_at, weight);
+                health.record_success(now, weight);
                 if is_slow {
                     health.mark_suspect();
                 }
--- a/crates/balancer/src/backends/outlier_detection/tests.rs
+++ b/crates/balancer/src/backends/outlier_detection/tests.rs
@@ -34,6 +34,7 @@
             outcome,
             latency: now - START,
             settled: false,
+            connected_at: None,
         };
         self.detector.record_outcome(
             now,
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -23,8 +23,8 @@
 use crate::subset::{Subset, SubsetUpdate};
 use crate::wakeups::Wakeups;
 use crate::{
-    Action, Arrival, AttemptEnd, Config, ConfigError, Endpoint, EndpointUpdate, Event, LogEvent,
-    Micros, Outcome, Time,
+    Acceptance, Action, Arrival, AttemptEnd, Config, ConfigError, Endpoint, EndpointUpdate, Event,
+    LogEvent, Micros, Outcome, Time,
 };
 
 /// The decisions of one proxy. Give it every event in order; it responds with actions.
@@ -297,12 +297,23 @@
             self.outbox.log(now, ejection);
         }
         if end.outcome == Outcome::Success {
+            self.record_acceptance(attempt, end);
             let mean_request_latency = self.latencies.record(attempt.class, end.latency);
             self.backends
                 .record_latency(attempt.backend, mean_request_latency);
         }
     }
 
+    /// Records that a backend served a request, which shows that it was not draining.
+    fn record_acceptance(&mut self, attempt: &InFlightAttempt, end: &AttemptEnd) {
+        if let Some(backend) = self.backends.get_mut(attempt.backend) {
+            backend.health_mut().record_acceptance(Acceptance {
+                sent_at: attempt.sent_at,
+                connected_at: end.connected_at,
+            });
+        }
+    }
+
     /// The proxies that share each backend with this one.
     fn peers(&self) -> Peers {
         Peers {
--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -5,7 +5,7 @@
 use crate::requests::{QueuedRequest, Request};
 use crate::retry::RetryPolicy;
 use crate::routing::Picker;
-use crate::{Action, AttemptNumber, BackendId, RequestId, Time};
+use crate::{Action, AttemptNumber, BackendId, LogEvent, RequestId, Time};
 
 /// The number of a request's first attempt.
 const FIRST_ATTEMPT: AttemptNumber = AttemptNumber(0);
@@ -100,6 +100,14 @@
         let Some(backend) = self.backends.get_mut(backend_id) else {
             return;
         };
+        if let Some(list) = self.discovery_watch.unconfirmed_list(now, &self.config) {
+            self.outbox.trace(LogEvent::UnconfirmedListUsed {
+                request: id,
+                backend: backend_id,
+                accepted: backend.health().last_acceptance(),
+                list,
+            });
+        }
         let class = request.class;
         if request.needs_retry_budget() {
             self.retry_budget.withdraw();
--- a/crates/balancer/src/discovery_watch.rs
+++ b/crates/balancer/src/discovery_watch.rs
@@ -10,7 +10,7 @@
 mod poll_backoff;
 mod polling_load;
 
-use crate::{Config, DiscoveryMode, Micros, Time};
+use crate::{Config, DiscoveryMode, Micros, Time, UnconfirmedList};
 use poll_backoff::PollBackoff;
 use polling_load::{empty_start_spread_secs, must_spread_polls, poll_spread_secs};
 
@@ -218,6 +218,24 @@
         is_pushed || self.is_watching(now) || now - self.fresh_at < NOTIFICATION_DEADLINE
     }
 
+    /// What is known of the list, if no answer of discovery confirms it: the list is stale, or the
+    /// latest poll has not been answered and only counts as a watch.
+    pub fn unconfirmed_list(&self, now: Time, config: &Config) -> Option<UnconfirmedList> {
+        let is_pushed = config.discovery == DiscoveryMode::Push;
+        if is_pushed || now - self.fresh_at < NOTIFICATION_DEADLINE {
+            return None;
+        }
+        let poll_sent_at = match self.state {
+            WatchState::Established => return None,
+            WatchState::Connecting { sent_at } => Some(sent_at),
+            WatchState::Disconnected => None,
+        };
+        Some(UnconfirmedList {
+            fresh_at: self.fresh_at,
+            poll_sent_at,
+        })
+    }
+
     /// Whether the latest poll waits for a change: it was answered, or has left the service's
     /// queue.
     fn is_watching(&self, now: Time) -> bool {
--- a/crates/balancer/src/interface.rs
+++ b/crates/balancer/src/interface.rs
@@ -8,7 +8,7 @@
 mod ids;
 mod time;
 
-pub use action::{Action, LogEvent};
+pub use action::{Acceptance, Action, LogEvent, UnconfirmedList};
 pub use config::{Class, Config, ConfigError, DiscoveryMode, Idempotency, KeyScope, Tenant};
 pub use endpoint::{BackendState, Endpoint, EndpointUpdate};
 pub use event::{Arrival, AttemptEnd, Event, Outcome};
--- a/crates/balancer/src/interface/action.rs
+++ b/crates/balancer/src/interface/action.rs
@@ -1,6 +1,6 @@
 //! Actions: what the balancer requests from its host.
 
-use crate::{AttemptNumber, BackendId, Micros, Outcome, RequestId, TimerToken};
+use crate::{AttemptNumber, BackendId, Micros, Outcome, RequestId, Time, TimerToken};
 
 /// What the balancer requests from its host. The host carries actions out in the order in which it
 /// gets them.
@@ -65,4 +65,35 @@
     /// A poll of discovery or the watch on the endpoint list timed out; the balancer will poll
     /// again.
     WatchTimedOut,
+    /// A request is sent although no answer of discovery confirms the endpoint list. Operators need
+    /// it only to trace such a request: it may occur for every request, and does not count against
+    /// the limit on log lines.
+    UnconfirmedListUsed {
+        /// The request.
+        request: RequestId,
+        /// The backend that it is sent to.
+        backend: BackendId,
+        /// The newest request that the backend has served.
+        accepted: Option<Acceptance>,
+        /// What is known of the list.
+        list: UnconfirmedList,
+    },
+}
+
+/// A request that a backend has served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acceptance {
+    /// When it was sent: the backend was not draining then.
+    pub sent_at: Time,
+    /// When the connection was established on which it was sent, if the host knows that.
+    pub connected_at: Option<Time>,
+}
+
+/// An endpoint list that no answer of discovery confirms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnconfirmedList {
+    /// The list contains every change that discovery had, and could be polled for, at this time.
+    pub fresh_at: Time,
+    /// When the poll was sent that has not been answered; `None` if no poll is under way.
+    pub poll_sent_at: Option<Time>,
 }
--- a/crates/balancer/src/interface/event.rs
+++ b/crates/balancer/src/interface/event.rs
@@ -1,7 +1,7 @@
 //! Events: what the host reports to the balancer.
 
 use crate::{
-    AttemptNumber, ClassId, Endpoint, EndpointUpdate, Micros, RequestId, TenantId, TimerToken,
+    AttemptNumber, ClassId, Endpoint, EndpointUpdate, Micros, RequestId, TenantId, Time, TimerToken,
 };
 
 /// What the host reports to the balancer.
@@ -77,6 +77,9 @@
     pub latency: Micros,
     /// Whether the request already had its final response, so that the balancer gives none.
     pub settled: bool,
+    /// When the connection was established on which the request was sent: the process that served
+    /// it has run since then. `None` if the host does not know.
+    pub connected_at: Option<Time>,
 }
 
 /// How an attempt ended.
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -43,10 +43,10 @@
 pub use halb::{halb_shares, MachineGroup};
 pub use host::{TimerQueue, RESPONSE_GRACE_TICKS};
 pub use interface::{
-    Action, Arrival, AttemptEnd, AttemptNumber, BackendId, BackendState, CellId, Class, ClassId,
-    Config, ConfigError, DiscoveryMode, Endpoint, EndpointUpdate, Event, Idempotency, KeyScope,
-    LogEvent, MachineTypeId, Micros, Outcome, RequestId, Tenant, TenantId, Time, TimerToken,
-    ZoneId,
+    Acceptance, Action, Arrival, AttemptEnd, AttemptNumber, BackendId, BackendState, CellId, Class,
+    ClassId, Config, ConfigError, DiscoveryMode, Endpoint, EndpointUpdate, Event, Idempotency,
+    KeyScope, LogEvent, MachineTypeId, Micros, Outcome, RequestId, Tenant, TenantId, Time,
+    TimerToken, UnconfirmedList, ZoneId,
 };
 
 /// The README's example, kept true by the documentation tests.
--- a/crates/balancer/src/outbox.rs
+++ b/crates/balancer/src/outbox.rs
@@ -27,6 +27,12 @@
         }
     }
 
+    /// Reports an event that is for tracing single requests. The limit on log lines does not hold:
+    /// hosts write such events only where an operator asks for them.
+    pub fn trace(&mut self, event: LogEvent) {
+        self.push(Action::Log(event));
+    }
+
     /// Moves the actions to the end of the host's list.
     pub fn drain_into(&mut self, actions: &mut Vec<Action>) {
         actions.append(&mut self.actions);
--- a/crates/balancer/src/requests/table/tests.rs
+++ b/crates/balancer/src/requests/table/tests.rs
@@ -19,6 +19,7 @@
         outcome,
         latency: Micros(10_000),
         settled: false,
+        connected_at: None,
     }
 }
 
--- a/crates/balancer/src/routing/picker.rs
+++ b/crates/balancer/src/routing/picker.rs
@@ -6,7 +6,7 @@
 use crate::random::{Rng, Weighted};
 use crate::requests::Request;
 use crate::retry::RetryPolicy;
-use crate::{BackendId, Config, MachineTypeId, Time};
+use crate::{Acceptance, BackendId, Config, MachineTypeId, Time};
 
 /// Random draws by share before all backends are looked through: when so many had no capacity, most
 /// have none.
@@ -117,7 +117,7 @@
     /// sent less than [`NOTIFICATION_DEADLINE`] ago: it was not draining then, and a proxy has that
     /// long to learn of a change.
     fn is_listing_trusted(&self, backend: &Backend) -> bool {
-        let last_accepted_at = backend.health().last_accepted_at();
-        self.is_list_fresh || self.now - last_accepted_at < NOTIFICATION_DEADLINE
+        let is_recent = |accepted: Acceptance| self.now - accepted.sent_at < NOTIFICATION_DEADLINE;
+        self.is_list_fresh || backend.health().last_acceptance().is_some_and(is_recent)
     }
 }
--- a/crates/balancer/tests/common/test_host.rs
+++ b/crates/balancer/tests/common/test_host.rs
@@ -41,6 +41,9 @@
     pub last_actions: Vec<Action>,
     /// Whether new requests are marked as a client's retries.
     pub requests_are_retries: bool,
+    /// When the connections were established on which attempts are sent; `None` if that is not
+    /// reported.
+    pub connected_at: Option<Time>,
     balancer: Balancer,
     /// The endpoint list as last updated.
     endpoints: BTreeMap<BackendId, Endpoint>,
@@ -68,6 +71,7 @@
             logs: Vec::new(),
             last_actions: Vec::new(),
             requests_are_retries: false,
+            connected_at: None,
             last_request_number: 0,
         }
     }
--- a/crates/balancer/tests/common/test_host/requests.rs
+++ b/crates/balancer/tests/common/test_host/requests.rs
@@ -65,6 +65,7 @@
             outcome: Outcome::Error,
             latency: Micros(5),
             settled: false,
+            connected_at: None,
         }));
     }
 
@@ -94,6 +95,7 @@
             outcome,
             latency,
             settled,
+            connected_at: self.connected_at,
         }));
     }
 
--- a/crates/balancer/tests/slow_start_fleet/simulation.rs
+++ b/crates/balancer/tests/slow_start_fleet/simulation.rs
@@ -206,6 +206,7 @@
                 outcome,
                 latency: now - finished.dispatched_at,
                 settled: !was_open || succeeded,
+                connected_at: None,
             }),
         );
     }
--- a/crates/fleet-simulator/src/simulated/proxy/actions.rs
+++ b/crates/fleet-simulator/src/simulated/proxy/actions.rs
@@ -62,6 +62,7 @@
             outcome: Outcome::NotSent,
             latency: Micros(0),
             settled: true,
+            connected_at: None,
         }));
     }
 
@@ -81,6 +82,7 @@
             outcome: Outcome::Cancelled,
             latency: now - in_flight.sent_at,
             settled,
+            connected_at: None,
         }));
         self.requests.remove_if_done(request);
     }
--- a/crates/fleet-simulator/src/simulated/proxy/events.rs
+++ b/crates/fleet-simulator/src/simulated/proxy/events.rs
@@ -80,6 +80,7 @@
             outcome,
             latency: at - in_flight.sent_at,
             settled,
+            connected_at: None,
         }))
     }
 
@@ -98,6 +99,7 @@
                     outcome: Outcome::TimedOut,
                     latency: now - attempt.sent_at,
                     settled,
+                    connected_at: None,
                 }));
                 let key = self.attempt_key(request, attempt.number);
                 self.outputs.push(ProxyOutput::CancelAttempt(key));
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -145,6 +145,7 @@
         };
         let mut result = AttemptResult::from_response(response);
         result.connection_rejected &= is_new;
+        result.connected_at = Some(connection.established_at);
         if connection.is_reusable().await {
             let now = self.pool.clock.now();
             self.pool.put_back(&self.upstream, now, connection);
--- a/crates/proxy/src/backend_connection.rs
+++ b/crates/proxy/src/backend_connection.rs
@@ -3,6 +3,7 @@
 use crate::count_guard::CountGuard;
 use crate::forwarded_request::MAX_BODY_BYTES;
 use crate::tracked_stream::{StreamProgress, TrackedStream};
+use brookstack_balancer::Time;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
@@ -46,6 +47,8 @@
 pub struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
     connection: Pin<Box<Connection<TokioIo<TrackedStream>, Full<Bytes>>>>,
+    /// When the connection was established.
+    pub established_at: Time,
     /// How far the current request and its response have come.
     pub progress: Rc<StreamProgress>,
     /// The connection's future has completed; it must not be polled again.
@@ -54,9 +57,10 @@
 }
 
 impl BackendConnection {
-    /// Sets up HTTP/1.1 on a connected socket, which `socket` counts.
+    /// Sets up HTTP/1.1 on a socket that was connected at that time and that `socket` counts.
     pub async fn handshake(
         stream: TcpStream,
+        established_at: Time,
         socket: CountGuard,
     ) -> Result<BackendConnection, HandshakeError> {
         let stream = TrackedStream::new(stream, MAX_RESPONSE_BYTES);
@@ -69,6 +73,7 @@
         Ok(BackendConnection {
             sender,
             connection: Box::pin(connection),
+            established_at,
             progress,
             ended: false,
             _socket: socket,
--- a/crates/proxy/src/backend_response.rs
+++ b/crates/proxy/src/backend_response.rs
@@ -1,7 +1,7 @@
 //! What a backend's response means for the attempt that got it.
 
 use crate::forwarded_request::{connection_options, remove_hop_by_hop_headers};
-use brookstack_balancer::Outcome;
+use brookstack_balancer::{Outcome, Time};
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
@@ -17,6 +17,8 @@
     pub response: Option<Response<Bytes>>,
     /// The backend rejected the new connection, not just the request.
     pub connection_rejected: bool,
+    /// When the connection was established that brought a response.
+    pub connected_at: Option<Time>,
 }
 
 impl From<Outcome> for AttemptResult {
@@ -25,6 +27,7 @@
             outcome,
             response: None,
             connection_rejected: false,
+            connected_at: None,
         }
     }
 }
@@ -35,6 +38,7 @@
             outcome,
             response: Some(forwardable(response)),
             connection_rejected: false,
+            connected_at: None,
         }
     }
 
@@ -51,6 +55,7 @@
                     outcome: Outcome::Rejected,
                     response: None,
                     connection_rejected: closes_connection(response.headers()),
+                    connected_at: None,
                 }
             }
             // Every backend would respond to this request with a client error, so the client gets
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -198,7 +198,7 @@
         }
     }
 
-    fn finish_attempt(&mut self, id: AttemptId, result: AttemptResult) {
+    fn finish_attempt(&mut self, id: AttemptId, mut result: AttemptResult) {
         let now = self.clock.now();
         let Some(attempt) = self.pending.remove_attempt(id) else {
             return;
@@ -207,7 +207,7 @@
             return;
         };
         attempt.task.abort();
-        if let Some(response) = result.response {
+        if let Some(response) = result.response.take() {
             pending.respond(FinalResponse::Served(response));
         }
         let settled = !pending.is_owed_response();
@@ -217,7 +217,7 @@
             });
         }
         self.balancer
-            .report(attempt.ended(now, result.outcome, settled));
+            .report(attempt.finished(now, &result, settled));
         if settled {
             let now = self.clock.now();
             self.pending.settle(id.request, now, &mut self.balancer);
--- a/crates/proxy/src/driver/balancer_log.rs
+++ b/crates/proxy/src/driver/balancer_log.rs
@@ -12,6 +12,21 @@
         }
         LogEvent::WatchFailed => tracing::info!("discovery watch failed, polling again"),
         LogEvent::WatchTimedOut => tracing::info!("discovery watch timed out, polling again"),
+        LogEvent::UnconfirmedListUsed {
+            request,
+            backend,
+            accepted,
+            list,
+        } => {
+            let address = upstreams.address(backend);
+            tracing::debug!(
+                request = request.0,
+                ?address,
+                ?accepted,
+                ?list,
+                "request sent on an unconfirmed endpoint list"
+            );
+        }
     }
 }
 
--- a/crates/proxy/src/driver/balancer_log/tests.rs
+++ b/crates/proxy/src/driver/balancer_log/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::test_fixtures::resolved_endpoint;
-use brookstack_balancer::{BackendState, EndpointUpdate};
+use brookstack_balancer::{BackendState, EndpointUpdate, RequestId, Time, UnconfirmedList};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -83,3 +83,18 @@
         "INFO discovery watch timed out, polling again"
     );
 }
+
+#[test]
+fn a_request_on_an_unconfirmed_list_is_logged_at_debug_only() {
+    let event = LogEvent::UnconfirmedListUsed {
+        request: RequestId(1),
+        backend: BackendId(7),
+        accepted: None,
+        list: UnconfirmedList {
+            fresh_at: Time(5),
+            poll_sent_at: None,
+        },
+    };
+    let upstreams = upstreams_with_backend(BackendState::Ready);
+    assert_eq!(logged_line(event, &upstreams), "");
+}
--- a/crates/proxy/src/driver/in_flight_attempt.rs
+++ b/crates/proxy/src/driver/in_flight_attempt.rs
@@ -69,14 +69,25 @@
         }
     }
 
-    /// The end of the attempt as the balancer's event.
-    pub fn ended(&self, now: Time, outcome: Outcome, settled: bool) -> Event {
+    /// The end of the attempt by its own result, as the balancer's event.
+    pub fn finished(&self, now: Time, result: &AttemptResult, settled: bool) -> Event {
+        self.ended(now, result.outcome, settled, result.connected_at)
+    }
+
+    fn ended(
+        &self,
+        now: Time,
+        outcome: Outcome,
+        settled: bool,
+        connected_at: Option<Time>,
+    ) -> Event {
         Event::AttemptEnded(AttemptEnd {
             request: self.id.request,
             attempt: self.id.attempt,
             outcome,
             latency: now - self.dispatched_at,
             settled,
+            connected_at,
         })
     }
 
@@ -84,7 +95,7 @@
     pub fn abort(self, now: Time, reason: AbortReason, settled: bool) -> Event {
         self.task.abort();
         let outcome = reason.outcome(self.progress.has_started());
-        self.ended(now, outcome, settled)
+        self.ended(now, outcome, settled, None)
     }
 }
 
@@ -96,6 +107,7 @@
         outcome: Outcome::NotSent,
         latency: Micros(0),
         settled,
+        connected_at: None,
     })
 }
 
--- a/crates/simulator-adapter/src/encode.rs
+++ b/crates/simulator-adapter/src/encode.rs
@@ -52,22 +52,24 @@
         }
         Action::LimitIdleConnections { .. } => Ok(()),
         Action::WatchEndpoints => writeln!(reply, r#"["FOLLOW","{instance}",true]"#),
-        Action::Log(event) => {
-            let text = log_text(*event, lists);
-            write_json(&json!(["WRITE_LOG", instance, text]), reply)
-        }
+        Action::Log(event) => match log_text(*event, lists) {
+            Some(text) => write_json(&json!(["WRITE_LOG", instance, text]), reply),
+            None => Ok(()),
+        },
     };
 }
 
-/// The text of a line of the operators' log.
-fn log_text(event: LogEvent, lists: &EndpointLists) -> String {
+/// The text of a line of the operators' log; `None` for an event that traces a single request,
+/// because the simulator keeps only the first few hundred lines.
+fn log_text(event: LogEvent, lists: &EndpointLists) -> Option<String> {
     match event {
         LogEvent::BackendEjected { backend, outcome } => {
             let backend = backend_name(backend, lists);
-            format!("backend {backend} ejected: {outcome:?}")
+            Some(format!("backend {backend} ejected: {outcome:?}"))
         }
-        LogEvent::WatchFailed => "discovery watch failed, polling again".into(),
-        LogEvent::WatchTimedOut => "discovery watch timed out, polling again".into(),
+        LogEvent::WatchFailed => Some("discovery watch failed, polling again".into()),
+        LogEvent::WatchTimedOut => Some("discovery watch timed out, polling again".into()),
+        LogEvent::UnconfirmedListUsed { .. } => None,
     }
 }
 
--- a/crates/simulator-adapter/src/event.rs
+++ b/crates/simulator-adapter/src/event.rs
@@ -148,6 +148,7 @@
         outcome,
         latency: Micros(latency),
         settled,
+        connected_at: None,
     })
 }
 
--- a/crates/simulator-adapter/src/event/tests.rs
+++ b/crates/simulator-adapter/src/event/tests.rs
@@ -111,6 +111,7 @@
         outcome: Outcome::Reset,
         latency: Micros(900),
         settled: true,
+        connected_at: None,
     });
     let line = json!([
         "RETURNED",
