--- a/crates/balancer/tests/discovery_watch.rs
+++ b/crates/balancer/tests/discovery_watch.rs
@@ -246,3 +246,51 @@
         "not dispatched though the proxy has been notified"
     );
 }
+
+/// A proxy whose polls were rejected in an outage of discovery, up to the last one now.
+fn host_after_outage() -> TestHost {
+    let mut host = polling_host(300, 0);
+    host.update_watch(EndpointUpdate::Delta);
+    host.advance(seconds(10));
+    host.update_watch(EndpointUpdate::WatchFailed);
+    let outage_end = host.now + seconds(8);
+    while host.now < outage_end {
+        fail_next_poll(&mut host, Micros(0));
+    }
+    host
+}
+
+/// Requests a second apart, served at once on connections of that age, while no poll is answered.
+/// Returns whether the last one, 7 s after the last rejected poll, was dispatched.
+fn is_served_on_stale_list(host: &mut TestHost, connected_at: Time) -> bool {
+    let outage_end = host.now;
+    host.connected_at = Some(connected_at);
+    let mut is_dispatched = false;
+    while host.now < outage_end + seconds(7) {
+        let request = host.send_request(CLIENT_TIMEOUT);
+        is_dispatched = !host.backends_of(request).is_empty();
+        host.serve_in_flight_after(millis(10));
+        host.advance(millis(990));
+    }
+    is_dispatched
+}
+
+#[test]
+fn a_stale_list_is_not_trusted_for_a_process_that_started_after_it() {
+    // A backend drained after an outage of discovery, ended, and came back. A proxy whose polls
+    // still waited in discovery's queue went on sending to it, because it had accepted requests
+    // lately. But the proxy counted as notified of the drain and not yet of the return.
+    let mut host = host_after_outage();
+    let restarted_at = host.now + seconds(3);
+    assert!(
+        !is_served_on_stale_list(&mut host, restarted_at),
+        "dispatched to a process that no list has named"
+    );
+}
+
+#[test]
+fn a_stale_list_is_trusted_for_a_process_that_was_connected_long_before_it() {
+    let mut host = host_after_outage();
+    let long_before = Time(host.now.0 - seconds(20).0);
+    assert!(is_served_on_stale_list(&mut host, long_before));
+}
