--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -18,7 +18,7 @@
 use crate::message::{AttemptId, DriverEvent, FinalResponse, IncomingRequest};
 use balancer_host::BalancerHost;
 use brookstack_balancer::{
-    Arrival, Config, ConfigError, EndpointUpdate, Event, Micros, RequestId, Time,
+    Arrival, Config, ConfigError, Endpoint, EndpointUpdate, Event, Micros, RequestId, Time,
     RESPONSE_GRACE_TICKS,
 };
 use pending_requests::PendingRequests;
@@ -225,10 +225,11 @@
     }
 
     fn update_endpoints(&mut self, update: EndpointUpdate, targets: Vec<ResolvedEndpoint>) {
-        let endpoints = targets
+        let endpoints: Vec<Endpoint> = targets
             .iter()
             .map(|target| target.endpoint.clone())
             .collect();
+        tracing::debug!(?update, entries = endpoints.len(), "endpoint list update");
         self.upstreams.apply(update, targets);
         let serving = self.upstreams.any_accepting();
         self.status.serving.set(serving);
--- a/crates/proxy/src/driver/actions.rs
+++ b/crates/proxy/src/driver/actions.rs
@@ -79,6 +79,12 @@
         let Some(pending) = self.pending.get_mut(id.request) else {
             return;
         };
+        tracing::debug!(
+            request = id.request.0,
+            attempt = id.attempt.0,
+            address = %upstream.target.address,
+            "attempt started"
+        );
         let attempt = Attempt {
             pool: self.pool.clone(),
             upstream,
