--- a/crates/balancer/tests/discovery_watch_fleet/fleet.rs
+++ b/crates/balancer/tests/discovery_watch_fleet/fleet.rs
@@ -20,9 +20,8 @@
 pub struct Traffic {
     /// Requests a second at each of them, evenly spaced.
     pub rate_per_s: f64,
-    /// When backends begin to drain: from then on they reject requests, even before proxies are
-    /// notified.
-    pub drained_at: Time,
+    /// From then on the draining backends reject requests, even before proxies are notified.
+    pub rejected_from: Time,
 }
 
 impl Traffic {
@@ -53,7 +52,7 @@
     fn outcome(&self, host: &TestHost, request: RequestId, attempt: usize) -> Outcome {
         let attempt = host.attempt(request, attempt);
         let drains = DRAINING_BACKENDS.contains(&(attempt.backend.0 as u32));
-        if drains && attempt.dispatched_at >= self.drained_at {
+        if drains && attempt.dispatched_at >= self.rejected_from {
             Outcome::Rejected
         } else {
             Outcome::Success
--- a/crates/balancer/tests/discovery_watch_fleet/main.rs
+++ b/crates/balancer/tests/discovery_watch_fleet/main.rs
@@ -9,7 +9,7 @@
 mod service;
 
 use brookstack_balancer::Micros;
-use common::builders::backends_across_zones;
+use common::builders::{backends_across_zones, seconds};
 use fleet::Fleet;
 use outage::{OutageScenario, NOTIFICATION_DEADLINE};
 
@@ -63,6 +63,7 @@
             call_duration: case.call_duration,
             backend_count: 60,
             rate_per_s: 0.0,
+            accepted_in_drain: Micros(0),
             observed_s: 6.0,
         };
         assert_all_notified_in_time(&case, &scenario.run().delays_s);
@@ -86,12 +87,24 @@
 fn a_proxy_that_is_not_notified_in_time_dispatches_nothing_to_backends_that_may_be_draining() {
     // One service needs 4 to 9 s for the calls of three hundred proxies, 14 to 33 s for those of
     // 1,100. A proxy that is not notified in time goes on with the backends that accepted a request
-    // within the last 6 s. They are many: only every tenth proxy has traffic here.
+    // lately. They are many: only every tenth proxy has traffic here.
+    assert_no_late_dispatches(Micros(0));
+}
+
+#[test]
+fn nothing_is_dispatched_late_to_backends_that_accept_requests_while_they_drain() {
+    assert_no_late_dispatches(seconds(2));
+}
+
+/// An outage after which a service is too slow to notify all proxies in time. Draining backends
+/// accept requests for a while.
+fn assert_no_late_dispatches(accepted_in_drain: Micros) {
     let few_proxies = OutageScenario {
         proxy_count: 300,
         call_duration: Micros(30_000),
         backend_count: 60,
         rate_per_s: 20.0,
+        accepted_in_drain,
         observed_s: 12.0,
     };
     let many_proxies = OutageScenario {
@@ -99,6 +112,7 @@
         call_duration: Micros(13_000),
         backend_count: 240,
         rate_per_s: 8.0,
+        accepted_in_drain,
         observed_s: 12.0,
     };
     for scenario in [few_proxies, many_proxies] {
--- a/crates/balancer/tests/discovery_watch_fleet/outage.rs
+++ b/crates/balancer/tests/discovery_watch_fleet/outage.rs
@@ -25,6 +25,8 @@
     pub backend_count: u32,
     /// Requests a second at every tenth proxy.
     pub rate_per_s: f64,
+    /// Draining backends go on accepting requests for so long after the drain is listed.
+    pub accepted_in_drain: Micros,
     /// How long the fleet is observed after the drain begins.
     pub observed_s: f64,
 }
@@ -56,7 +58,7 @@
         let drained_at = back_at + Micros::from_secs(DRAIN_DELAY_S);
         let traffic = Traffic {
             rate_per_s: self.rate_per_s,
-            drained_at,
+            rejected_from: drained_at + self.accepted_in_drain,
         };
         fleet.run_with_traffic(OUTAGE_S, &traffic);
         fleet.bring_service_back();
