A backend that accepted a request is trusted on a stale list for 3 s instead of 6 s

Cause: the picker took an accepted request for proof that the backend had not been draining when the request was sent, and trusted its entry for the 6 s that a proxy has to learn of a drain. But the drain is listed before the backend begins to reject.

Why it holds: a drain that was listed up to 3 s before the accepted request counts as notified 3 s after it at the earliest, when the trust has ended.

--- a/crates/balancer/src/discovery_watch.rs
+++ b/crates/balancer/src/discovery_watch.rs
@@ -16,7 +16,11 @@
 
 /// A proxy counts as notified of a change 6 s after discovery had the change and was reachable,
 /// whether or not a poll succeeded. From then on, a list that may lack the change is stale.
-pub(crate) const NOTIFICATION_DEADLINE: Micros = Micros(6_000_000);
+const NOTIFICATION_DEADLINE: Micros = Micros(6_000_000);
+/// An accepted request shows for so long that a backend may be used though the list is stale. A
+/// draining backend may go on accepting requests for a while after its drain was listed. So only
+/// half of the time counts that a proxy has until it counts as notified of a drain.
+pub(crate) const ACCEPTANCE_LIFETIME: Micros = Micros(NOTIFICATION_DEADLINE.0 / 2);
 /// A poll that fails after at least 1 s was in the service's queue: the service is up, but
 /// overloaded. A poll that fails sooner was rejected or reached nobody, and cost the service
 /// nothing.
--- a/crates/balancer/src/routing/picker.rs
+++ b/crates/balancer/src/routing/picker.rs
@@ -1,7 +1,7 @@
 //! The picker: which backend a request is sent to.
 
 use crate::backends::{Backend, BackendTable};
-use crate::discovery_watch::{DiscoveryWatch, NOTIFICATION_DEADLINE};
+use crate::discovery_watch::{DiscoveryWatch, ACCEPTANCE_LIFETIME};
 use crate::estimation::LatencyEstimates;
 use crate::random::{Rng, Weighted};
 use crate::requests::Request;
@@ -24,7 +24,7 @@
     /// The request's work in multiples of a mean request.
     work: f64,
     /// The endpoint list has every change that discovery has had, and could be polled for, for
-    /// longer than [`NOTIFICATION_DEADLINE`].
+    /// longer than the notification deadline.
     is_list_fresh: bool,
 }
 
@@ -114,10 +114,9 @@
 
     /// Whether the backend's entry may be relied on: if the list is stale, the backend may have
     /// begun to drain. A stale list is still trusted for a backend that served a request that was
-    /// sent less than [`NOTIFICATION_DEADLINE`] ago: it was not draining then, and a proxy has that
-    /// long to learn of a change.
+    /// sent less than [`ACCEPTANCE_LIFETIME`] ago.
     fn is_listing_trusted(&self, backend: &Backend) -> bool {
-        let is_recent = |accepted: Acceptance| self.now - accepted.sent_at < NOTIFICATION_DEADLINE;
+        let is_recent = |accepted: Acceptance| self.now - accepted.sent_at < ACCEPTANCE_LIFETIME;
         self.is_list_fresh || backend.health().last_acceptance().is_some_and(is_recent)
     }
 }
--- a/crates/balancer/tests/discovery_watch.rs
+++ b/crates/balancer/tests/discovery_watch.rs
@@ -294,3 +294,24 @@
     let long_before = Time(host.now.0 - seconds(20).0);
     assert!(is_served_on_stale_list(&mut host, long_before));
 }
+
+#[test]
+fn a_stale_list_is_not_trusted_for_a_backend_that_may_have_accepted_requests_while_it_drained() {
+    // Discovery listed 30 backends as draining, and they went on accepting requests for 2.1 s. A
+    // proxy whose polls were not answered took its last accepted request for proof that the backend
+    // had not been draining then, and sent to it for 6 s from that request on: up to 2.1 s after the
+    // drain counted as notified. The proxy's log had a line "request sent on an unconfirmed endpoint
+    // list" for each: sent at 20.388 s, accepted at 15.708 s, the drain listed at 13.91 s.
+    let mut host = host_after_outage();
+    let drain_listed_at = host.now;
+    while host.now < drain_listed_at + seconds(2) {
+        host.send_request(CLIENT_TIMEOUT);
+        host.serve_in_flight_after(millis(20));
+    }
+    host.advance(millis(4_700));
+    let request = host.send_request(CLIENT_TIMEOUT);
+    assert!(
+        host.backends_of(request).is_empty(),
+        "dispatched 6.7 s after a drain was listed"
+    );
+}
