A request is offered to the backends before an overdue check judges it

Cause: Balancer::handle checked the waiting requests before it offered the one that the event had brought. If the check was overdue, is_overdue judged that request by the latency that is expected of its class, and gave it up before any backend had been considered. The same happened to a request whose attempt had just been rejected, and to one that waited while a backend became ready.

Now the queue is offered first. A request whose deadline is over is still rejected at once: the dispatch checks the last tick itself, which it did not do in events without a check.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -110,6 +110,9 @@
         if self.wakeups.take_due(now) {
             self.poll_discovery(now);
             self.check_attempts(now);
+            // A request is offered to the backends before it is judged by an expected latency: the
+            // check may come late, together with the event that brought the request.
+            self.send_queued(now);
             self.check_requests(now);
         }
         self.send_queued(now);
--- a/crates/balancer/src/balancer/dispatch.rs
+++ b/crates/balancer/src/balancer/dispatch.rs
@@ -3,7 +3,7 @@
 use super::Balancer;
 use crate::admission::{prompt_latency, Timeliness};
 use crate::requests::{QueuedRequest, Request};
-use crate::retry::RetryPolicy;
+use crate::retry::{is_in_last_tick, RetryPolicy};
 use crate::routing::Picker;
 use crate::{Action, AttemptNumber, BackendId, LogEvent, RequestId, Time};
 
@@ -72,7 +72,8 @@
         };
         let has_budget = !request.needs_retry_budget() || self.retry_budget.is_available();
         let retry_policy = RetryPolicy::new(&self.config, request);
-        if !has_budget || !retry_policy.allows_attempt(now) {
+        let is_too_late = is_in_last_tick(now, &self.config, request);
+        if is_too_late || !has_budget || !retry_policy.allows_attempt(now) {
             return DispatchDecision::NotAllowed;
         }
         let in_flight = self.count_in_flight();
--- a/crates/balancer/src/retry.rs
+++ b/crates/balancer/src/retry.rs
@@ -6,5 +6,5 @@
 mod policy;
 
 pub(crate) use budget::RetryBudget;
-pub(crate) use deadlines::{is_overdue, next_check, QUEUE_CHECK_TICKS};
+pub(crate) use deadlines::{is_in_last_tick, is_overdue, next_check, QUEUE_CHECK_TICKS};
 pub(crate) use policy::RetryPolicy;
--- a/crates/balancer/src/retry/deadlines.rs
+++ b/crates/balancer/src/retry/deadlines.rs
@@ -6,13 +6,19 @@
 /// Waiting requests are looked at every so many ticks.
 pub(crate) const QUEUE_CHECK_TICKS: f64 = 4.0;
 
+/// Whether the final response is due, whatever happens to the request: the deadline itself would be
+/// too late, so that is one tick before it.
+pub(crate) fn is_in_last_tick(now: Time, config: &Config, request: &Request) -> bool {
+    now + config.tick >= request.deadline
+}
+
 /// Whether a request needs its final response now. `typical_latency` is what a served request of
 /// its class usually takes.
 ///
-/// The deadline itself would be too late: the final response is due one tick before it. A request
-/// with no attempt in flight gets it earlier, if an attempt of typical latency would end after the
-/// time until which a response is useful. That is the deadline if the request was sent before and
-/// its class has a late weight, otherwise the objective.
+/// A request in its last tick needs it. A request with no attempt in flight gets it earlier, if an
+/// attempt of typical latency would end after the time until which a response is useful. That is
+/// the deadline if the request was sent before and its class has a late weight, otherwise the
+/// objective.
 pub(crate) fn is_overdue(
     now: Time,
     config: &Config,
@@ -27,8 +33,7 @@
         request.objective_at
     };
     let is_too_late_to_start = now + typical_latency >= useful_until;
-    let is_last_tick = now + config.tick >= request.deadline;
-    is_last_tick || (is_too_late_to_start && !request.is_in_flight())
+    is_in_last_tick(now, config, request) || (is_too_late_to_start && !request.is_in_flight())
 }
 
 /// When a request has to be looked at again, whatever happens until then.
