A request without a known latency is judged by its own time instead of its class's objective

It came on loaded machines, and with any first request of a class while another request was in flight for longer than usual.

Cause: before the first response of a class its latency is assumed to be a quarter of its objective. Where the objective is long, that is more than clients wait: such a request counted as too late to start as soon as a check found it without an attempt. It was never served, so that the class stayed without a known latency, also beside classes that had one.

Now the assumption is a quarter of the time that the request itself had until its objective. Hedging uses the same figure.

--- a/crates/balancer/src/balancer/periodic.rs
+++ b/crates/balancer/src/balancer/periodic.rs
@@ -8,7 +8,7 @@
 use crate::requests::Request;
 use crate::retry::{is_overdue, next_check};
 use crate::routing::{SharePlan, SlowStartPlan, ZoneFactors};
-use crate::{Action, Time};
+use crate::{Action, Micros, Time};
 
 impl Balancer {
     /// Computes readiness, shares and limits anew.
@@ -111,7 +111,7 @@
                 continue;
             }
             next_check_at = next_check_at.min(next_check(now, &self.config, request));
-            let typical_latency = self.latencies.typical(request.class);
+            let typical_latency = self.typical_latency(request);
             if is_overdue(now, &self.config, request, typical_latency) {
                 overdue.push(id);
             } else if self.is_probably_lost(now, request) {
@@ -136,7 +136,13 @@
         };
         let backend = self.backends.get(attempt.endpoint.id);
         let is_down = backend.is_none_or(|backend: &Backend| backend.health().is_probably_down());
-        let would_be_in_time = now + self.latencies.typical(request.class) < request.objective_at;
+        let would_be_in_time = now + self.typical_latency(request) < request.objective_at;
         attempt.in_flight && is_down && would_be_in_time && self.retry_budget.is_available()
     }
+
+    /// How long an attempt of the request is expected to take.
+    fn typical_latency(&self, request: &Request) -> Micros {
+        let objective = request.objective();
+        self.latencies.typical_within(request.class, objective)
+    }
 }
--- a/crates/balancer/src/estimation/latency.rs
+++ b/crates/balancer/src/estimation/latency.rs
@@ -48,11 +48,13 @@
 
     /// What a served request of the class usually takes; an assumption before any was served.
     pub fn typical(&self, class: ClassId) -> Micros {
-        let ClassLatency {
-            objective,
-            observed,
-        } = &self.classes[class.0];
-        match observed.get() {
+        self.typical_within(class, self.classes[class.0].objective)
+    }
+
+    /// The same for a request that has its own time until its objective. It may have less than
+    /// requests of its class usually have: an assumption about them says nothing of it.
+    pub fn typical_within(&self, class: ClassId, objective: Micros) -> Micros {
+        match self.classes[class.0].observed.get() {
             Some(seconds) => Micros::from_secs(seconds),
             None => objective.times(ASSUMED_LATENCY),
         }
--- a/crates/balancer/src/requests/request.rs
+++ b/crates/balancer/src/requests/request.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// The time that it had until its objective when it arrived.
+    pub fn objective(&self) -> Micros {
+        self.objective_at - self.arrived_at
+    }
+
     /// Whether any attempt has not ended yet.
     pub fn is_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.in_flight)
--- a/crates/balancer/tests/offers.rs
+++ b/crates/balancer/tests/offers.rs
@@ -48,6 +48,28 @@
     assert_eq!(host.backends_of(request).len(), 2);
 }
 
+/// Nothing is known of the latency of a class before its first response, so that a quarter of its
+/// objective is assumed, which may be more time than the client has left. A waiting request was
+/// rejected for that at the first check, 20 ms after it came.
+#[test]
+fn a_waiting_request_of_a_class_without_a_response_is_not_judged_by_a_longer_objective() {
+    let mut config = config_with_classes(vec![
+        class(Idempotency::Idempotent),
+        class(Idempotency::Idempotent),
+    ]);
+    config.classes[1].latency_objective = LONG_OBJECTIVE;
+    let mut host = TestHost::with_endpoints(config, backends(2));
+    let served = host.send_request_of_class(0, CLIENT_TIMEOUT);
+    host.advance(millis(10));
+    host.end_attempt(served, 0, Outcome::Success);
+    host.update_endpoints(EndpointUpdate::Snapshot, draining_backends());
+    let request = host.send_request_of_class(1, CLIENT_TIMEOUT);
+    host.advance(millis(400));
+    assert_eq!(host.completion(request), None);
+    host.update_endpoints(EndpointUpdate::Snapshot, backends(2));
+    assert_eq!(host.backends_of(request).len(), 1);
+}
+
 /// A check that was overdue rejected a waiting request in the very event that made a backend
 /// available.
 #[test]
