Simulated proxies report when the connection of an attempt was opened

The balancer learns from real proxies how old a connection is. Simulated proxies gave no time, so that a decision which uses it could not be measured on simulated fleets. A connection ends when an attempt on it shows that the backend's process has ended.

--- a/crates/fleet-simulator/src/simulated/proxy/actions.rs
+++ b/crates/fleet-simulator/src/simulated/proxy/actions.rs
@@ -42,10 +42,11 @@
         open.in_flight.push(InFlightAttempt {
             number,
             sent_at: now,
+            backend,
+            connected_at: self.connections.record_attempt(now, backend, shared),
         });
         let is_first = number.0 == 0;
         let queue_delay = is_first.then(|| now - open.arrived_at);
-        self.connections.record_attempt(now, backend, shared);
         self.outputs.push(ProxyOutput::SendAttempt {
             key: self.attempt_key(request, number),
             backend,
--- a/crates/fleet-simulator/src/simulated/proxy/connections.rs
+++ b/crates/fleet-simulator/src/simulated/proxy/connections.rs
@@ -5,13 +5,20 @@
 use brookstack_balancer::Time;
 use std::collections::HashMap;
 
+/// An open connection.
+#[derive(Clone, Copy, Debug)]
+struct Connection {
+    opened_at: Time,
+    last_used_at: Time,
+}
+
 /// How one proxy used one backend.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BackendUse {
     /// Attempts sent in the measurement window.
     pub attempts: u32,
-    /// When the open connection was last used, if there is one.
-    last_used_at: Option<Time>,
+    /// The open connection, if there is one.
+    connection: Option<Connection>,
 }
 
 /// Counts of attempts, and of the connections that were opened for them.
@@ -41,25 +48,38 @@
 }
 
 impl Connections {
-    /// Records an attempt that is sent to a backend now.
-    pub fn record_attempt(&mut self, now: Time, backend: u32, shared: &SharedContext) {
+    /// Records an attempt that is sent to a backend now; returns when its connection was opened.
+    pub fn record_attempt(&mut self, now: Time, backend: u32, shared: &SharedContext) -> Time {
         let backend_use = self.backends.entry(backend).or_default();
-        let is_open = backend_use
-            .last_used_at
-            .is_some_and(|last| now < last + shared.connection_idle_timeout);
-        backend_use.last_used_at = Some(now);
+        let is_kept = |connection: &Connection| {
+            now < connection.last_used_at + shared.connection_idle_timeout
+        };
+        let kept = backend_use.connection.filter(is_kept);
+        let opened_at = kept.map_or(now, |connection| connection.opened_at);
+        backend_use.connection = Some(Connection {
+            opened_at,
+            last_used_at: now,
+        });
         if let Some(half) = shared.window.half(now) {
             backend_use.attempts += 1;
             let counts = &mut self.halves[half];
             counts.attempts += 1;
-            counts.opened += u64::from(!is_open);
+            counts.opened += u64::from(kept.is_none());
+        }
+        opened_at
+    }
+
+    /// Closes the connection to a backend, whose process has ended.
+    pub fn close(&mut self, backend: u32) {
+        if let Some(backend_use) = self.backends.get_mut(&backend) {
+            backend_use.connection = None;
         }
     }
 
     /// Closes all connections.
     pub fn close_all(&mut self) {
         for backend_use in self.backends.values_mut() {
-            backend_use.last_used_at = None;
+            backend_use.connection = None;
         }
     }
 
--- a/crates/fleet-simulator/src/simulated/proxy/events.rs
+++ b/crates/fleet-simulator/src/simulated/proxy/events.rs
@@ -73,6 +73,9 @@
             self.outputs.push(ProxyOutput::RequestServed { latency });
         }
         let settled = open.is_answered;
+        if matches!(outcome, Outcome::ConnectFailed | Outcome::Reset) {
+            self.connections.close(in_flight.backend);
+        }
         self.requests.remove_if_done(request);
         Some(Event::AttemptEnded(AttemptEnd {
             request,
@@ -80,7 +83,7 @@
             outcome,
             latency: at - in_flight.sent_at,
             settled,
-            connected_at: None,
+            connected_at: Some(in_flight.connected_at),
         }))
     }
 
--- a/crates/fleet-simulator/src/simulated/proxy/open_requests.rs
+++ b/crates/fleet-simulator/src/simulated/proxy/open_requests.rs
@@ -11,6 +11,10 @@
     pub number: AttemptNumber,
     /// When it was sent.
     pub sent_at: Time,
+    /// The backend that it was sent to.
+    pub backend: u32,
+    /// When its connection was opened.
+    pub connected_at: Time,
 }
 
 /// A request that has no final response yet, or has attempts in flight.
