--- a/crates/balancer/tests/discovery_watch_fleet/main.rs
+++ b/crates/balancer/tests/discovery_watch_fleet/main.rs
@@ -96,8 +96,8 @@
     assert_no_late_dispatches(seconds(2));
 }
 
-/// An outage after which a service is too slow to notify all proxies in time. Draining backends
-/// accept requests for a while.
+/// Plays outages after which the service is too slow to notify all proxies in time. Draining
+/// backends accept requests for a while.
 fn assert_no_late_dispatches(accepted_in_drain: Micros) {
     let few_proxies = OutageScenario {
         proxy_count: 300,
@@ -116,32 +116,36 @@
         observed_s: 12.0,
     };
     for scenario in [few_proxies, many_proxies] {
-        let case = Case {
-            proxy_count: scenario.proxy_count,
-            call_duration: scenario.call_duration,
-        };
-        let report = scenario.run();
-        let deadline_s = NOTIFICATION_DEADLINE.secs();
-        let in_time = report
-            .delays_s
-            .iter()
-            .filter(|delay| **delay <= deadline_s)
-            .count();
-        let (served, arrived) = (report.served, report.arrived);
-        println!(
-            "{case}: {in_time} notified within 6 s, {} dispatches too late, \
-             {served} of {arrived} served after that",
-            report.late_dispatches
-        );
-        assert!(
-            in_time < scenario.proxy_count as usize,
-            "the service could notify all proxies in time"
-        );
-        assert_eq!(report.late_dispatches, 0, "{case}");
-        assert!(served * 20 >= arrived * 19, "{served} of {arrived} served");
+        assert_no_late_dispatches_in(&scenario);
     }
 }
 
+fn assert_no_late_dispatches_in(scenario: &OutageScenario) {
+    let case = Case {
+        proxy_count: scenario.proxy_count,
+        call_duration: scenario.call_duration,
+    };
+    let report = scenario.run();
+    let deadline_s = NOTIFICATION_DEADLINE.secs();
+    let in_time = report
+        .delays_s
+        .iter()
+        .filter(|delay| **delay <= deadline_s)
+        .count();
+    let (served, arrived) = (report.served, report.arrived);
+    println!(
+        "{case}: {in_time} notified within 6 s, {} dispatches too late, \
+         {served} of {arrived} served after that",
+        report.late_dispatches
+    );
+    assert!(
+        in_time < scenario.proxy_count as usize,
+        "the service could notify all proxies in time"
+    );
+    assert_eq!(report.late_dispatches, 0, "{case}");
+    assert!(served * 20 >= arrived * 19, "{served} of {arrived} served");
+}
+
 #[test]
 fn calls_that_fail_in_the_queue_are_repeated_slowly_enough_to_empty_it() {
     // However many proxies there are, and though no call is answered: 12.5 calls a second of 80 ms
