--- a/crates/proxy/src/server/request_handler.rs
+++ b/crates/proxy/src/server/request_handler.rs
@@ -57,8 +57,10 @@
         if !open_ids.insert(correlation_id.clone()) {
             return Err(RequestError::DuplicateCorrelationId);
         }
+        let id = RequestId(server.next_id());
+        tracing::debug!(request = id.0, ?correlation_id, "request read");
         Ok(RequestGuard {
-            id: RequestId(server.next_id()),
+            id,
             correlation_id,
             server,
             is_answered: false,
