Soak: real proxies under faults that seeds draw, checked against the operators' rules

Each seed draws restarts by SIGTERM with SIGKILL at the earliest that is allowed, kills, SIGHUP in series (also during a shutdown, with an unreadable file, with another discovery address), a crowd of idle clients, a discovery service that is down, stalls, is overloaded or resets calls, backends that drain, vanish, hang, break off responses or write bytes as they close, and clients that leave. All requests, attempts, lists and processes are recorded, and nine rules are checked on the records. A violation is printed with its seed, the log lines of its request and the command that plays the run alone.

--- a/crates/fleet-simulator/src/args.rs
+++ b/crates/fleet-simulator/src/args.rs
@@ -26,6 +26,28 @@
     Fleet(FleetArgs),
     /// A fixed set of both, with a table for each.
     All(AllArgs),
+    /// Real proxies under faults that seeds draw, and the operators' rules.
+    Soak(SoakArgs),
+}
+
+/// Options of `soak`.
+#[derive(Clone, Debug, Args)]
+pub struct SoakArgs {
+    /// The proxy's program.
+    #[arg(long, default_value = "target/release/brookstack-proxy")]
+    pub proxy: PathBuf,
+    /// How many runs there are, each with a seed of its own.
+    #[arg(long, default_value_t = 50)]
+    pub seeds: u64,
+    /// The seed of the first run; each further run has the next one.
+    #[arg(long, default_value_t = 1)]
+    pub first_seed: u64,
+    /// Runs at once. Each needs about half a core.
+    #[arg(long, default_value_t = 2)]
+    pub jobs: usize,
+    /// Writes plans and results to this file, as JSON.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
 }
 
 /// Options of `real`.
--- a/crates/fleet-simulator/src/main.rs
+++ b/crates/fleet-simulator/src/main.rs
@@ -1,10 +1,11 @@
 //! The command line of the capacity tests.
 
-use brookstack_fleet_simulator::args::{AllArgs, Cli, Command, FleetArgs, RealArgs};
+use brookstack_fleet_simulator::args::{AllArgs, Cli, Command, FleetArgs, RealArgs, SoakArgs};
 use brookstack_fleet_simulator::failure::Failure;
 use brookstack_fleet_simulator::real::cell::Cell;
 use brookstack_fleet_simulator::simulated::figures::Figures;
 use brookstack_fleet_simulator::simulated::{self, Cost, FleetRun};
+use brookstack_fleet_simulator::soak::{self, SoakSetup};
 use brookstack_fleet_simulator::{real, report};
 use clap::Parser;
 use serde::Serialize;
@@ -22,6 +23,7 @@
         Command::Real(args) => run_real(args),
         Command::Fleet(args) => run_fleet(args),
         Command::All(args) => run_all(args),
+        Command::Soak(args) => run_soak(args),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -75,6 +77,23 @@
     report_failed_checks(&[failed_cells, failed_fleets].concat())
 }
 
+fn run_soak(args: &SoakArgs) -> Result<(), Failure> {
+    let setup = SoakSetup {
+        proxy: args.proxy.clone(),
+        first_seed: args.first_seed,
+        seeds: args.seeds,
+        jobs: args.jobs,
+    };
+    let runs = soak::run(&setup, &|run| print!("{run}"))?;
+    write_figures(args.json.as_deref(), &runs)?;
+    let failed = runs.iter().filter(|run| !run.violations.is_empty());
+    let failed: Vec<String> = failed
+        .map(|run| format!("seed {}: {}", run.plan.seed, run.command()))
+        .collect();
+    println!("{} runs, {} failed", runs.len(), failed.len());
+    report_failed_checks(&failed)
+}
+
 /// Runs a fleet once for each scenario.
 fn run_scenarios(args: &FleetArgs) -> Result<Vec<FleetRun>, Failure> {
     let mut runs = Vec::new();
--- /dev/null
+++ b/crates/fleet-simulator/src/soak/checks.rs
@@ -0,0 +1,370 @@
+//! The operators' rules, checked on the records of a run. All limits are theirs; each is 50 ms longer
+//! on sockets.
+
+use super::clients::{RESPONSE_GRACE_SECS, SOCKET_SLACK_SECS};
+use super::discovery::{group, ZONES};
+use super::plan::{ListSource, Plan};
+use super::proxies::{max_descriptors, MEMORY_MB};
+use super::records::{
+    AttemptRecord, Class, ListChange, ProcessRecord, Records, RequestEnd, RequestRecord,
+};
+use serde::Serialize;
+use std::collections::HashMap;
+
+/// A change counts as notified so long after discovery had it and could be reached, s.
+const NOTIFICATION_SECS: f64 = 6.0;
+/// The same where an agent pushes changes, s: at once.
+const PUSH_NOTIFICATION_SECS: f64 = 0.0;
+/// After SIGHUP an agent's list counts so much later, s.
+const MOVE_SECS: f64 = 4.0;
+/// Requests to a draining or gone backend stop so long after the notification, s.
+const DRAIN_GRACE_SECS: f64 = 0.5;
+/// An attempt may begin so long after its client has left, s.
+const LEFT_GRACE_SECS: f64 = 0.1;
+/// A process is ready within so long, s.
+const READY_SECS: f64 = 10.0;
+/// A process that could not be watched for [`READY_SECS`] is not judged before so long, s.
+const MIN_READY_SECS: f64 = 6.0;
+/// Requests that come later than that after SIGTERM may find their connection closed, s.
+const NEW_CONNECTION_SECS: f64 = 0.4;
+
+/// A rule of the operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// Each request that was read gets one response in time.
+    Answered,
+    /// No response is followed by another.
+    AnsweredOnce,
+    /// A client gets the response that a backend made for its request.
+    OwnResponse,
+    /// Nothing goes to a draining or gone backend after the grace.
+    Drain,
+    /// A non-idempotent request does not run twice.
+    SingleExecution,
+    /// An idempotency key is repeated only within its scope and window.
+    KeyScope,
+    /// No attempt begins after its client has left.
+    ClientLeft,
+    /// Processes do not crash, and are ready in time.
+    Process,
+    /// Memory and descriptors are bounded.
+    Limits,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, Serialize)]
+pub struct Violation {
+    /// The rule.
+    pub rule: Rule,
+    /// When it was broken, s.
+    pub at: f64,
+    /// The correlation id of the request, if it is about one.
+    pub request: Option<String>,
+    /// What was seen.
+    pub what: String,
+}
+
+impl Violation {
+    fn of_request(rule: Rule, at: f64, id: &str, what: String) -> Violation {
+        Violation {
+            rule,
+            at,
+            request: Some(id.to_string()),
+            what,
+        }
+    }
+
+    fn of_process(rule: Rule, process: &ProcessRecord, what: String) -> Violation {
+        Violation {
+            rule,
+            at: process.started_at,
+            request: None,
+            what: format!("proxy {}: {what}", process.proxy),
+        }
+    }
+}
+
+/// The records of a run with what the checks look up in them.
+struct Checks<'a> {
+    plan: &'a Plan,
+    records: &'a Records,
+    attempts: HashMap<&'a str, Vec<&'a AttemptRecord>>,
+}
+
+/// Checks all rules; the violations are in the order of time.
+pub fn check(plan: &Plan, records: &Records) -> Vec<Violation> {
+    let mut attempts: HashMap<&str, Vec<&AttemptRecord>> = HashMap::new();
+    for attempt in &records.attempts {
+        attempts.entry(&attempt.id).or_default().push(attempt);
+    }
+    let checks = Checks {
+        plan,
+        records,
+        attempts,
+    };
+    let mut violations = Vec::new();
+    for request in &records.requests {
+        violations.extend(checks.check_response(request));
+        violations.extend(checks.check_executions(request));
+        violations.extend(checks.check_after_leaving(request));
+    }
+    for attempt in &records.attempts {
+        violations.extend(checks.check_drain(attempt));
+    }
+    for id in &records.second_responses {
+        let what = "more bytes came after the response".to_string();
+        violations.push(Violation::of_request(Rule::AnsweredOnce, 0.0, id, what));
+    }
+    for process in &records.processes {
+        violations.extend(checks.check_process(process));
+        violations.extend(checks.check_limits(process));
+    }
+    violations.sort_by(|a, b| a.at.total_cmp(&b.at));
+    violations
+}
+
+impl Checks<'_> {
+    fn attempts_of(&self, id: &str) -> &[&AttemptRecord] {
+        self.attempts.get(id).map_or(&[], Vec::as_slice)
+    }
+
+    /// The process that a request was sent to.
+    fn process_at(&self, proxy: usize, at: f64) -> Option<&ProcessRecord> {
+        let started = |process: &&ProcessRecord| process.proxy == proxy && process.started_at <= at;
+        let processes = self.records.processes.iter().filter(started);
+        processes.max_by(|a, b| a.started_at.total_cmp(&b.started_at))
+    }
+
+    fn check_response(&self, request: &RequestRecord) -> Option<Violation> {
+        let violation = |rule, what: String| {
+            Some(Violation::of_request(
+                rule,
+                request.ended_at,
+                &request.id,
+                what,
+            ))
+        };
+        let limit = request.deadline_at + RESPONSE_GRACE_SECS + SOCKET_SLACK_SECS;
+        match request.end {
+            RequestEnd::Answered { is_own: false, .. } => {
+                violation(Rule::OwnResponse, "the response is another's".into())
+            }
+            RequestEnd::Answered { .. } if request.ended_at > limit => {
+                let late = request.ended_at - request.deadline_at;
+                violation(Rule::Answered, format!("answered {late:.3} s too late"))
+            }
+            RequestEnd::Unanswered if !self.is_excused(request) => {
+                violation(Rule::Answered, "never answered".into())
+            }
+            RequestEnd::BrokenOff if !self.is_excused(request) => {
+                violation(Rule::Answered, "the response broke off".into())
+            }
+            RequestEnd::Closed if !self.is_excused(request) && self.was_read(request) => {
+                let attempts = self.attempts_of(&request.id).len();
+                let what = format!("closed without a response, {attempts} attempts");
+                violation(Rule::Answered, what)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the request ended because its process got SIGKILL without a warning.
+    fn is_excused(&self, request: &RequestRecord) -> bool {
+        let Some(process) = self.process_at(request.proxy, request.sent_at) else {
+            return true;
+        };
+        let is_unannounced = process.terminated_at.is_none();
+        let is_killed = process
+            .killed_at
+            .is_some_and(|killed_at| killed_at <= request.ended_at);
+        is_unannounced && is_killed
+    }
+
+    /// Whether a request whose connection was closed had been read. A request on a connection that
+    /// rested may cross the close, and a new connection may be closed unread by a proxy that shuts
+    /// down or whose descriptors are full.
+    fn was_read(&self, request: &RequestRecord) -> bool {
+        if !self.attempts_of(&request.id).is_empty() {
+            return true;
+        }
+        let process = self.process_at(request.proxy, request.sent_at);
+        let is_shutting_down = process
+            .and_then(|process| process.terminated_at)
+            .is_some_and(|at| {
+                at <= request.ended_at && request.ended_at - at < NEW_CONNECTION_SECS
+            });
+        let is_crowded = self
+            .plan
+            .crowd
+            .is_some_and(|span| span.from <= request.ended_at && request.sent_at <= span.to + 1.0);
+        request.is_first_on_connection && !is_shutting_down && !is_crowded
+    }
+
+    fn check_executions(&self, request: &RequestRecord) -> Option<Violation> {
+        let executed: Vec<&&AttemptRecord> = self
+            .attempts_of(&request.id)
+            .iter()
+            .filter(|attempt| !attempt.is_rejected)
+            .collect();
+        let (first, later) = executed.split_first()?;
+        let last = later.last()?;
+        let violation = |rule, what: String| {
+            let at = last.first_byte_at;
+            Some(Violation::of_request(rule, at, &request.id, what))
+        };
+        match request.class {
+            Class::Read => None,
+            Class::Pay => violation(
+                Rule::SingleExecution,
+                format!("{} backends may have executed it", executed.len()),
+            ),
+            Class::Vote => {
+                let is_out_of_scope =
+                    |attempt: &&&&AttemptRecord| !self.shares_keys(first.backend, attempt.backend);
+                if let Some(other) = later.iter().find(is_out_of_scope) {
+                    let what = format!("from backend {} to {}", first.backend, other.backend);
+                    return violation(Rule::KeyScope, what);
+                }
+                let window = self.plan.key_window_secs + SOCKET_SLACK_SECS;
+                let after = last.first_byte_at - first.first_byte_at;
+                let what = format!("repeated {after:.3} s after the first attempt");
+                (after > window).then(|| violation(Rule::KeyScope, what))?
+            }
+        }
+    }
+
+    /// Whether two backends discard each other's duplicates.
+    fn shares_keys(&self, one: usize, other: usize) -> bool {
+        match self.plan.key_scope {
+            "zone" => one % ZONES.len() == other % ZONES.len(),
+            "cell" => group(one) == group(other),
+            _ => true,
+        }
+    }
+
+    fn check_after_leaving(&self, request: &RequestRecord) -> Option<Violation> {
+        if request.end != RequestEnd::ClientLeft {
+            return None;
+        }
+        let limit = request.ended_at + LEFT_GRACE_SECS + SOCKET_SLACK_SECS;
+        let late = self
+            .attempts_of(&request.id)
+            .iter()
+            .find(|attempt| attempt.first_byte_at > limit)?;
+        let after = late.first_byte_at - request.ended_at;
+        let what = format!("an attempt began {after:.3} s after the client had left");
+        Some(Violation::of_request(
+            Rule::ClientLeft,
+            late.first_byte_at,
+            &request.id,
+            what,
+        ))
+    }
+
+    fn check_drain(&self, attempt: &AttemptRecord) -> Option<Violation> {
+        let limit = DRAIN_GRACE_SECS + SOCKET_SLACK_SECS;
+        let mut changes = self.records.changes.iter().filter(|change| {
+            change.backend == attempt.backend && change.at <= attempt.first_byte_at
+        });
+        let change = changes.find(|change| {
+            let notified_at = self.notified_at(attempt.proxy, change);
+            let is_over = attempt.first_byte_at > notified_at + limit;
+            !change.is_ready && is_over && !self.is_back(attempt, change)
+        })?;
+        let after = attempt.first_byte_at - self.notified_at(attempt.proxy, change);
+        let what = format!(
+            "proxy {} sent to backend {} {after:.3} s after it counted as notified (change {} at \
+             {:.3} s)",
+            attempt.proxy, attempt.backend, change.version, change.at
+        );
+        Some(Violation::of_request(
+            Rule::Drain,
+            attempt.first_byte_at,
+            &attempt.id,
+            what,
+        ))
+    }
+
+    /// Whether a later list, in which the backend is ready again, was written to the proxy before
+    /// the attempt.
+    fn is_back(&self, attempt: &AttemptRecord, gone: &ListChange) -> bool {
+        let mut later = self.records.changes.iter().filter(|change| {
+            change.backend == attempt.backend && change.is_ready && change.version > gone.version
+        });
+        later.any(|change| {
+            self.written_at(attempt.proxy, change)
+                .is_some_and(|at| at <= attempt.first_byte_at)
+        })
+    }
+
+    fn written_at(&self, proxy: usize, change: &ListChange) -> Option<f64> {
+        let writes = self.records.writes.iter();
+        let has_change = |write: &&super::records::ListWrite| {
+            write.proxy == proxy && write.version >= change.version
+        };
+        let times = writes.filter(has_change).map(|write| write.at);
+        times.min_by(f64::total_cmp)
+    }
+
+    /// When a proxy counts as notified of a change.
+    fn notified_at(&self, proxy: usize, change: &ListChange) -> f64 {
+        let reachable_at = match self.plan.discovery_fault {
+            Some((_, span)) if span.contains(change.at) => span.to,
+            _ => change.at,
+        };
+        let limit = match self.plan.list_source {
+            ListSource::Push if self.has_moved(proxy, reachable_at) => MOVE_SECS,
+            ListSource::Push => PUSH_NOTIFICATION_SECS,
+            ListSource::Poll => NOTIFICATION_SECS,
+        };
+        let latest = reachable_at + limit;
+        self.written_at(proxy, change)
+            .map_or(latest, |written| written.min(latest))
+    }
+
+    /// Whether the proxy's discovery address changed not long before a time.
+    fn has_moved(&self, proxy: usize, at: f64) -> bool {
+        let mut signals = self.plan.signals.iter();
+        signals.any(|s| {
+            let is_hangup = s.signal == super::plan::ProxySignal::MoveDiscovery;
+            s.proxy == proxy && is_hangup && (s.at - at).abs() < MOVE_SECS
+        })
+    }
+
+    fn check_process(&self, process: &ProcessRecord) -> Option<Violation> {
+        if process.has_crashed {
+            let what = "the process ended by itself".to_string();
+            return Some(Violation::of_process(Rule::Process, process, what));
+        }
+        let ended_at = process.killed_at.or(process.exited_at);
+        let stopped_at = process.terminated_at.or(ended_at);
+        let judged_until = stopped_at.unwrap_or(f64::INFINITY);
+        let time = process.ready_at.map(|ready| ready - process.started_at);
+        let is_late = match time {
+            Some(time) => time > READY_SECS,
+            None => judged_until - process.started_at > MIN_READY_SECS,
+        };
+        let is_crowded = self.plan.crowd.is_some();
+        (is_late && !is_crowded).then(|| {
+            let what = format!("ready after {time:?} s");
+            Violation::of_process(Rule::Process, process, what)
+        })
+    }
+
+    fn check_limits(&self, process: &ProcessRecord) -> Option<Violation> {
+        let max_descriptors = max_descriptors(self.plan);
+        let is_kept =
+            process.max_memory_kb <= MEMORY_MB * 1024 && process.max_descriptors <= max_descriptors;
+        (!is_kept).then(|| {
+            let what = format!(
+                "{} KB of memory, {} of {max_descriptors} descriptors at {:.3} s",
+                process.max_memory_kb, process.max_descriptors, process.max_descriptors_at
+            );
+            Violation::of_process(Rule::Limits, process, what)
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet-simulator/src/soak/clients.rs
@@ -0,0 +1,197 @@
+//! Stand-ins for clients. Each keeps a connection for as long as the proxy leaves it open, also after
+//! the proxy got SIGTERM, and has one request at a time.
+
+use super::http::{Broken, Message, MessageReader};
+use super::plan::{Plan, RUN_SECS};
+use super::proxies::Fronts;
+use super::records::{Class, Recorder, RequestEnd, RequestRecord, RunClock};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::ops::Range;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// A response that comes so long after the client's time earns nothing, but is not lost, s.
+pub const RESPONSE_GRACE_SECS: f64 = 0.5;
+/// Each time limit is that much longer on sockets, s.
+pub const SOCKET_SLACK_SECS: f64 = 0.05;
+/// The range of the pause between a response and the next request, s.
+const THINK_SECS: Range<f64> = 0.0..0.06;
+/// The range of the time after which a leaving client closes its connection, s.
+const LEAVE_SECS: Range<f64> = 0.0..0.1;
+/// The pause of a client that finds no proxy, s.
+const RECONNECT_SECS: f64 = 0.03;
+/// The least time that a client gives a request, as a fraction of the longest.
+const MIN_TIME_LEFT_FRACTION: f64 = 0.4;
+
+/// A client.
+pub struct Client {
+    /// Its number.
+    pub number: usize,
+    /// The plan of the run.
+    pub plan: Plan,
+    /// Which proxies take new connections.
+    pub fronts: Fronts,
+    /// The clock of the run.
+    pub clock: RunClock,
+    /// Where its requests are recorded.
+    pub recorder: Recorder,
+}
+
+/// A request as it is written.
+struct Request {
+    id: String,
+    class: Class,
+    time_left: f64,
+    text: String,
+}
+
+/// Whether the connection can have another request.
+#[derive(PartialEq, Eq)]
+enum Next {
+    Reuse,
+    Reconnect,
+}
+
+impl Client {
+    /// Sends requests until the end of the run.
+    pub async fn run(self) {
+        let seed = self.plan.seed.wrapping_mul(1_000_003) + self.number as u64;
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut sent = 0;
+        while self.clock.now() < RUN_SECS {
+            let proxy = self.fronts.pick(&mut random);
+            let connected = match proxy {
+                Some(proxy) => TcpStream::connect(self.fronts.address(proxy)).await.ok(),
+                None => None,
+            };
+            let (Some(proxy), Some(stream)) = (proxy, connected) else {
+                tokio::time::sleep(Duration::from_secs_f64(RECONNECT_SECS)).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            self.use_connection(stream, proxy, &mut random, &mut sent)
+                .await;
+        }
+    }
+
+    async fn use_connection(
+        &self,
+        mut stream: TcpStream,
+        proxy: usize,
+        random: &mut Pcg64Mcg,
+        sent: &mut u64,
+    ) {
+        let mut reader = MessageReader::default();
+        let mut is_first = true;
+        while self.clock.now() < RUN_SECS {
+            let request = self.draw_request(random, *sent);
+            *sent += 1;
+            if stream.write_all(request.text.as_bytes()).await.is_err() {
+                return; // the proxy has closed the connection before the request
+            }
+            let sent_at = self.clock.now();
+            let leaves = random.random_bool(self.plan.leaving_fraction);
+            let leave_after = leaves.then(|| random.random_range(LEAVE_SECS));
+            let (end, next) = self
+                .finish(&request, sent_at, leave_after, stream, &mut reader)
+                .await;
+            let ended_at = self.clock.now();
+            self.recorder.lock().requests.push(RequestRecord {
+                id: request.id.clone(),
+                class: request.class,
+                proxy,
+                sent_at,
+                deadline_at: sent_at + request.time_left,
+                is_first_on_connection: is_first,
+                end,
+                ended_at,
+            });
+            is_first = false;
+            match next {
+                Some(open) => stream = open,
+                None => return,
+            }
+            let think = random.random_range(THINK_SECS);
+            tokio::time::sleep(Duration::from_secs_f64(think)).await;
+            if reader.has_bytes() {
+                self.recorder.lock().second_responses.push(request.id);
+            }
+        }
+    }
+
+    /// Waits for the response or leaves; returns the connection if it can have another request.
+    async fn finish(
+        &self,
+        request: &Request,
+        sent_at: f64,
+        leave_after: Option<f64>,
+        mut stream: TcpStream,
+        reader: &mut MessageReader,
+    ) -> (RequestEnd, Option<TcpStream>) {
+        let patience = request.time_left + RESPONSE_GRACE_SECS + SOCKET_SLACK_SECS;
+        let waits_until = sent_at + leave_after.unwrap_or(patience);
+        let result = tokio::select! {
+            result = reader.read(&mut stream) => Some(result),
+            () = self.clock.sleep_until(waits_until) => None,
+        };
+        match result {
+            None if leave_after.is_some() => (RequestEnd::ClientLeft, None),
+            None => (RequestEnd::Unanswered, None),
+            Some(Err(Broken::AtStart)) => (RequestEnd::Closed, None),
+            Some(Err(Broken::Midway)) => (RequestEnd::BrokenOff, None),
+            Some(Ok(response)) => {
+                let next = next_use(&response);
+                let open = (next == Next::Reuse).then_some(stream);
+                (judge(request, &response), open)
+            }
+        }
+    }
+
+    fn draw_request(&self, random: &mut Pcg64Mcg, number: u64) -> Request {
+        let class = match random.random_range(0..4) {
+            0 => Class::Vote,
+            1 => Class::Pay,
+            _ => Class::Read,
+        };
+        let id = format!("{:x}-{}-{number}", self.plan.seed, self.number);
+        let fraction = random.random_range(MIN_TIME_LEFT_FRACTION..1.0);
+        let time_left_ms = (self.plan.deadline_secs * fraction * 1_000.0) as u64;
+        let name = class.name();
+        let method = if class == Class::Read { "GET" } else { "POST" };
+        let mut text = format!(
+            "{method} /{name}/{number} HTTP/1.1\r\nHost: soak\r\nX-Correlation-Id: {id}\r\n\
+             X-Service-Class: {name}\r\nX-Time-Left-Ms: {time_left_ms}\r\n"
+        );
+        if class == Class::Vote {
+            text.push_str("Idempotency-Key: ");
+            text.push_str(&id);
+            text.push_str("\r\n");
+        }
+        text += if class == Class::Read {
+            "\r\n"
+        } else {
+            "Content-Length: 4\r\n\r\nbody"
+        };
+        Request {
+            id,
+            class,
+            time_left: time_left_ms as f64 / 1_000.0,
+            text,
+        }
+    }
+}
+
+fn judge(request: &Request, response: &Message) -> RequestEnd {
+    let status = response.status().unwrap_or(0);
+    let is_own = status != 200 || response.body == request.id.as_bytes();
+    RequestEnd::Answered { status, is_own }
+}
+
+fn next_use(response: &Message) -> Next {
+    match response.header("connection") {
+        Some(value) if value.eq_ignore_ascii_case("close") => Next::Reconnect,
+        _ => Next::Reuse,
+    }
+}
--- /dev/null
+++ b/crates/fleet-simulator/src/soak/proxies.rs
@@ -0,0 +1,391 @@
+//! The proxies of a run as processes, and the front that leads clients to them.
+
+use super::discovery::{Discovery, ADDRESSES, ZONES};
+use super::plan::{ListSource, Plan, PlannedSignal, ProxySignal, PROXIES};
+use super::records::{LogLine, ProcessRecord, Recorder, RunClock};
+use crate::failure::{Failure, InputError};
+use procfs::process::Process;
+use rand::seq::IndexedRandom;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// New connections keep coming for so long after SIGTERM, s.
+const FRONT_DELAY_SECS: f64 = 0.3;
+/// SIGKILL comes so long after the longest deadline after SIGTERM, s.
+const KILL_DELAY_SECS: f64 = 0.7;
+/// The longest deadline that delays SIGKILL, s.
+const MAX_KILL_DEADLINE_SECS: f64 = 3.0;
+/// A new process is started so long after the one before it has ended, s.
+const RESTART_SECS: f64 = 0.1;
+/// A new process gets no signal for so long, s: it has to catch signals first.
+const SIGNAL_DELAY_SECS: f64 = 0.2;
+/// Interval of the looks at a process, s.
+const LOOK_SECS: f64 = 0.02;
+/// Descriptors that a proxy may hold, usually, and where a crowd is to fill them.
+const DESCRIPTORS: usize = 512;
+const DESCRIPTORS_IN_CROWD: usize = 128;
+/// Memory that a proxy may take, MiB.
+pub const MEMORY_MB: u64 = 64;
+
+/// Descriptors that a proxy of this plan may hold.
+pub fn max_descriptors(plan: &Plan) -> usize {
+    if plan.crowd.is_some() {
+        DESCRIPTORS_IN_CROWD
+    } else {
+        DESCRIPTORS
+    }
+}
+
+/// Which proxies take new connections, and where.
+#[derive(Clone)]
+pub struct Fronts {
+    addresses: [SocketAddr; PROXIES],
+    open: Arc<[AtomicBool; PROXIES]>,
+}
+
+impl Fronts {
+    /// Proxies at these addresses, none of which takes connections yet.
+    pub fn new(addresses: [SocketAddr; PROXIES]) -> Fronts {
+        Fronts {
+            addresses,
+            open: Arc::default(),
+        }
+    }
+
+    /// Where a proxy listens.
+    pub fn address(&self, proxy: usize) -> SocketAddr {
+        self.addresses[proxy]
+    }
+
+    /// A proxy that takes new connections.
+    pub fn pick(&self, random: &mut Pcg64Mcg) -> Option<usize> {
+        let open: Vec<usize> = (0..PROXIES)
+            .filter(|proxy| self.open[*proxy].load(SeqCst))
+            .collect();
+        open.choose(random).copied()
+    }
+
+    fn set(&self, proxy: usize, is_open: bool) {
+        self.open[proxy].store(is_open, SeqCst);
+    }
+}
+
+/// One proxy over all of its processes.
+pub struct Proxy {
+    /// Its number.
+    pub number: usize,
+    /// The program.
+    pub program: PathBuf,
+    /// The plan of the run.
+    pub plan: Plan,
+    /// Its addresses of discovery.
+    pub discovery_addresses: [SocketAddr; ADDRESSES],
+    /// Discovery, which knows the list that was written to it last.
+    pub discovery: Discovery,
+    /// The front.
+    pub fronts: Fronts,
+    /// The clock of the run.
+    pub clock: RunClock,
+    /// Where its processes are recorded.
+    pub recorder: Recorder,
+}
+
+/// A running process.
+struct RunningProcess {
+    child: Child,
+    record: ProcessRecord,
+}
+
+impl Drop for RunningProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What a process is watched for until a time comes.
+enum Watched {
+    /// The time has come.
+    TimeReached,
+    /// The process has ended by itself.
+    Exited,
+}
+
+impl Proxy {
+    /// Runs its processes and sends its signals until the run ends at `end`.
+    pub async fn run(self, end: f64) -> Result<(), Failure> {
+        let mut discovery_index = 0;
+        let mut process = self.start(discovery_index)?;
+        let signals: Vec<PlannedSignal> = self.plan.signals.clone();
+        for planned in signals.iter().filter(|s| s.proxy == self.number) {
+            if planned.at < process.record.started_at + SIGNAL_DELAY_SECS {
+                continue; // it was sent during the shutdown, or the new process has just begun
+            }
+            self.watch(&mut process, planned.at).await;
+            match planned.signal {
+                ProxySignal::MoveDiscovery => {
+                    discovery_index = (discovery_index + 1) % ADDRESSES;
+                    self.write_config(&self.config(discovery_index).to_string())?;
+                    signal(&process, "-HUP");
+                }
+                ProxySignal::UnreadableConfiguration => {
+                    self.write_config("{")?;
+                    signal(&process, "-HUP");
+                }
+                ProxySignal::Restart => {
+                    self.shut_down(&mut process).await;
+                    process = self.replace(process, discovery_index).await?;
+                }
+                ProxySignal::Kill => {
+                    process.record.killed_at = Some(self.clock.now());
+                    let _ = process.child.kill();
+                    self.fronts.set(self.number, false);
+                    process = self.replace(process, discovery_index).await?;
+                }
+            }
+        }
+        self.watch(&mut process, end).await;
+        self.record(&process);
+        let _ = std::fs::remove_file(self.config_file());
+        Ok(())
+    }
+
+    /// SIGTERM, and SIGKILL at the earliest that the operators allow.
+    async fn shut_down(&self, process: &mut RunningProcess) {
+        let now = self.clock.now();
+        process.record.terminated_at = Some(now);
+        signal(process, "-TERM");
+        let deadline = self.plan.deadline_secs.min(MAX_KILL_DEADLINE_SECS);
+        let kill_at = now + deadline + KILL_DELAY_SECS;
+        let front = self.fronts.clone();
+        let (clock, number) = (self.clock, self.number);
+        tokio::spawn(async move {
+            clock.sleep_until(now + FRONT_DELAY_SECS).await;
+            front.set(number, false);
+        });
+        // The configuration also changes during the shutdown.
+        let hangups = self.plan.signals.iter().filter(|s| {
+            let is_hangup = matches!(
+                s.signal,
+                ProxySignal::MoveDiscovery | ProxySignal::UnreadableConfiguration
+            );
+            s.proxy == self.number && is_hangup && s.at > now && s.at < kill_at
+        });
+        for hangup in hangups.copied().collect::<Vec<_>>() {
+            if matches!(self.watch(process, hangup.at).await, Watched::Exited) {
+                return;
+            }
+            signal(process, "-HUP");
+        }
+        if matches!(self.watch(process, kill_at).await, Watched::TimeReached) {
+            process.record.killed_at = Some(self.clock.now());
+            let _ = process.child.kill();
+        }
+    }
+
+    async fn replace(
+        &self,
+        mut old: RunningProcess,
+        discovery_index: usize,
+    ) -> Result<RunningProcess, Failure> {
+        let _ = old.child.wait();
+        self.record(&old);
+        drop(old);
+        self.fronts.set(self.number, false);
+        tokio::time::sleep(Duration::from_secs_f64(RESTART_SECS)).await;
+        self.start(discovery_index)
+    }
+
+    /// Looks at a process until a time: whether it is ready, has ended, and what it holds.
+    async fn watch(&self, process: &mut RunningProcess, until: f64) -> Watched {
+        while self.clock.now() < until {
+            self.sample(process);
+            if let Ok(Some(status)) = process.child.try_wait() {
+                if process.record.exited_at.is_none() {
+                    process.record.exited_at = Some(self.clock.now());
+                    let is_asked = process.record.terminated_at.is_some();
+                    process.record.has_crashed = !status.success() || !is_asked;
+                }
+                return Watched::Exited;
+            }
+            let is_new = process.record.ready_at.is_none();
+            if is_new && is_ready(self.fronts.address(self.number)).await {
+                process.record.ready_at = Some(self.clock.now());
+                if process.record.terminated_at.is_none() {
+                    self.fronts.set(self.number, true);
+                }
+            }
+            let pause = LOOK_SECS.min((until - self.clock.now()).max(0.0));
+            tokio::time::sleep(Duration::from_secs_f64(pause)).await;
+        }
+        Watched::TimeReached
+    }
+
+    fn sample(&self, process: &mut RunningProcess) {
+        // Until it executes its program, the process holds the descriptors of this one.
+        if self.clock.now() < process.record.started_at + LOOK_SECS {
+            return;
+        }
+        let Ok(stat) = Process::new(process.child.id() as i32) else {
+            return;
+        };
+        let memory = stat.status().ok().and_then(|status| status.vmhwm);
+        let record = &mut process.record;
+        record.max_memory_kb = record.max_memory_kb.max(memory.unwrap_or(0));
+        let descriptors = stat.fd_count().unwrap_or(0);
+        if descriptors > record.max_descriptors {
+            record.max_descriptors = descriptors;
+            record.max_descriptors_at = self.clock.now();
+        }
+    }
+
+    fn record(&self, process: &RunningProcess) {
+        self.recorder.lock().processes.push(process.record.clone());
+    }
+
+    fn start(&self, discovery_index: usize) -> Result<RunningProcess, Failure> {
+        self.write_config(&self.config(discovery_index).to_string())?;
+        let started_at = self.clock.now();
+        let mut child = Command::new(&self.program)
+            .env("BALANCER_CONFIG", self.config_file())
+            .env("BROOKSTACK_LOG", "debug")
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(|source| InputError::StartProxy {
+                program: self.program.clone(),
+                source,
+            })?;
+        if let Some(stderr) = child.stderr.take() {
+            collect_log(stderr, self.number, self.recorder.clone());
+        }
+        let record = ProcessRecord {
+            proxy: self.number,
+            started_at,
+            ..ProcessRecord::default()
+        };
+        Ok(RunningProcess { child, record })
+    }
+
+    fn config_file(&self) -> PathBuf {
+        let name = format!(
+            "brookstack-soak-{}-{}-{}.json",
+            std::process::id(),
+            self.plan.seed,
+            self.number
+        );
+        std::env::temp_dir().join(name)
+    }
+
+    fn write_config(&self, text: &str) -> Result<(), Failure> {
+        std::fs::write(self.config_file(), text)
+            .map_err(Failure::in_step("the configuration's file"))
+    }
+
+    fn config(&self, discovery_index: usize) -> Value {
+        json!({
+            "name": format!("n{}", self.number),
+            "listen": self.fronts.address(self.number).to_string(),
+            "discovery": self.discovery_addresses[discovery_index].to_string(),
+            "seed": format!("{:x}", self.plan.seed.wrapping_mul(31) + self.number as u64 + 1),
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": MEMORY_MB,
+                "sockets": max_descriptors(&self.plan),
+            },
+            "known": self.discovery.known_list(self.number),
+            "settings": settings(&self.plan, self.number),
+        })
+    }
+}
+
+fn settings(plan: &Plan, proxy: usize) -> Value {
+    let deadline_us = (plan.deadline_secs * 1e6) as u64;
+    let class = |name: &str, effect: &str| {
+        json!({
+            "name": name, "effect": effect, "key_scope": plan.key_scope,
+            "window_us": (plan.key_window_secs * 1e6) as u64,
+            "aim_us": deadline_us / 2, "deadline_us": deadline_us,
+            "gain": 1.0, "late_worth": 0.2, "stream": false,
+        })
+    };
+    let source = match plan.list_source {
+        ListSource::Push => "automatic",
+        ListSource::Poll => "subscribe",
+    };
+    json!({
+        "blend": {"whole": 0.7, "worst_class": 0.3},
+        "costs": {"cross_zone": 0.0},
+        "customers": [],
+        "discovery": source,
+        "granularity_us": 5000,
+        "group_size": PROXIES,
+        "position": proxy,
+        "limits": {
+            "cancel": plan.cancellation_allowed, "conn_idle_us": 20_000_000,
+            "dial_timeout_us": 250_000, "max_attempts": 4, "open_cap": 2_000,
+            "parallel_tries": plan.hedging_allowed,
+        },
+        "my_zone": ZONES[proxy % ZONES.len()],
+        "over_share_worth": 0.1,
+        "profiles": [class("read", "free"), class("vote", "guarded"), class("pay", "single_shot")],
+        "rules": {
+            "cold_from": 0.3, "fall_multiple": 2.5, "must_ask_in_us": 10_000_000,
+            "ramp_time_us": 3_000_000, "tip_after_us": 2_000_000,
+        },
+        "weight_source": "rough",
+        "zones": ZONES,
+    })
+}
+
+fn signal(process: &RunningProcess, name: &str) {
+    let pid = process.child.id().to_string();
+    let _ = Command::new("kill")
+        .args([name, &pid])
+        .stderr(Stdio::null())
+        .status();
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let check = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let request = "GET /-/ready HTTP/1.1\r\nHost: soak\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let response = super::http::MessageReader::default()
+            .read(&mut stream)
+            .await;
+        response.ok()?.status()
+    };
+    let limit = Duration::from_secs(1);
+    matches!(tokio::time::timeout(limit, check).await, Ok(Some(200)))
+}
+
+/// Collects the lines that a process writes to standard error, until it ends.
+fn collect_log(stderr: ChildStderr, proxy: usize, recorder: Recorder) {
+    std::thread::spawn(move || {
+        for text in BufReader::new(stderr).lines().map_while(Result::ok) {
+            recorder.lock().log.push(LogLine { proxy, text });
+        }
+    });
+}
+
+/// The program, if it is there.
+pub fn check_program(program: &Path) -> Result<(), InputError> {
+    if program.is_file() {
+        return Ok(());
+    }
+    Err(InputError::Option {
+        option: "proxy",
+        expected: "the built proxy".into(),
+        got: program.display().to_string(),
+    })
+}
--- /dev/null
+++ b/crates/fleet-simulator/src/soak/report.rs
@@ -0,0 +1,139 @@
+//! The result of a run, as text and JSON.
+
+use super::checks::{check, Violation};
+use super::plan::Plan;
+use super::records::{Records, RequestEnd};
+use serde::Serialize;
+use std::fmt::{Display, Formatter};
+
+/// Log lines that are shown for a violation, at most.
+const MAX_LOG_LINES: usize = 40;
+
+/// The result of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunReport {
+    /// The plan.
+    pub plan: Plan,
+    /// Requests that clients wrote.
+    pub requests: usize,
+    /// Those that got status 200.
+    pub served: usize,
+    /// Those that got another status.
+    pub not_served: usize,
+    /// Attempts that reached backends.
+    pub attempts: usize,
+    /// Processes of all proxies.
+    pub processes: usize,
+    /// The broken rules.
+    pub violations: Vec<ViolationReport>,
+}
+
+/// A broken rule, with what the proxies logged of its request.
+#[derive(Clone, Debug, Serialize)]
+pub struct ViolationReport {
+    /// The violation.
+    #[serde(flatten)]
+    pub violation: Violation,
+    /// Log lines about its request, over all processes.
+    pub log: Vec<String>,
+}
+
+impl RunReport {
+    /// Checks the records of a run.
+    pub fn new(plan: Plan, records: &Records) -> RunReport {
+        let answered = |is_served: bool| {
+            let ends = records.requests.iter().map(|request| request.end);
+            ends.filter(|end| match end {
+                RequestEnd::Answered { status, .. } => (*status == 200) == is_served,
+                _ => false,
+            })
+            .count()
+        };
+        let violations = check(&plan, records)
+            .into_iter()
+            .map(|violation| ViolationReport {
+                log: log_of(&violation, records),
+                violation,
+            });
+        RunReport {
+            requests: records.requests.len(),
+            served: answered(true),
+            not_served: answered(false),
+            attempts: records.attempts.len(),
+            processes: records.processes.len(),
+            violations: violations.collect(),
+            plan,
+        }
+    }
+
+    /// The command that plays this run alone.
+    pub fn command(&self) -> String {
+        let seed = self.plan.seed;
+        format!("target/release/brookstack-fleet-simulator soak --seeds 1 --first-seed {seed}")
+    }
+}
+
+/// The lines that name the request of a violation: by its correlation id, and by the number that the
+/// process gave it.
+fn log_of(violation: &Violation, records: &Records) -> Vec<String> {
+    let Some(id) = &violation.request else {
+        return Vec::new();
+    };
+    let by_id = format!("correlation_id=\"{id}\"");
+    let mut lines = Vec::new();
+    for (index, line) in records.log.iter().enumerate() {
+        if !line.text.contains(&by_id) {
+            continue;
+        }
+        let number = line.text.split("request=").nth(1);
+        let number = number.and_then(|rest| rest.split(' ').next()).unwrap_or("");
+        let by_number = format!("request={number} ");
+        let of_request = records.log[index..]
+            .iter()
+            .filter(|other| other.proxy == line.proxy && other.text.contains(&by_number));
+        lines.extend(of_request.map(|other| format!("proxy {}: {}", other.proxy, other.text)));
+    }
+    lines.truncate(MAX_LOG_LINES);
+    lines
+}
+
+impl Display for RunReport {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        let plan = &self.plan;
+        writeln!(
+            formatter,
+            "seed {}: {} requests, {} served, {} not, {} attempts, {} processes; {:?}, {} backends, \
+             discovery {:?}, crowd {}, {} signals, faults {:?}",
+            plan.seed,
+            self.requests,
+            self.served,
+            self.not_served,
+            self.attempts,
+            self.processes,
+            plan.list_source,
+            plan.backends,
+            plan.discovery_fault.map(|(fault, _)| fault),
+            plan.crowd.is_some(),
+            plan.signals.len(),
+            plan.backend_faults
+                .iter()
+                .map(|planned| planned.fault)
+                .collect::<Vec<_>>(),
+        )?;
+        for ViolationReport { violation, log } in &self.violations {
+            let request = violation.request.as_deref().unwrap_or("-");
+            writeln!(
+                formatter,
+                "  broken: {:?} at {:.3} s, request {request}: {}",
+                violation.rule, violation.at, violation.what
+            )?;
+            for line in log {
+                writeln!(formatter, "    {line}")?;
+            }
+        }
+        if !self.violations.is_empty() {
+            writeln!(formatter, "  alone: {}", self.command())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fleet-simulator/src/soak/world.rs
@@ -0,0 +1,108 @@
+//! Starts the stand-ins and the proxies of a run, and lets them act until its end.
+
+use super::backends::Backend;
+use super::clients::{Client, RESPONSE_GRACE_SECS, SOCKET_SLACK_SECS};
+use super::discovery::Discovery;
+use super::plan::{Plan, Span, PROXIES, RUN_SECS};
+use super::proxies::{check_program, max_descriptors, Fronts, Proxy};
+use super::records::{Recorder, Records, RunClock};
+use crate::failure::Failure;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Proxies are watched for so long after the last client's time, s.
+const TAIL_SECS: f64 = 0.3;
+
+/// Plays a run.
+pub async fn play(program: &Path, plan: &Plan) -> Result<Records, Failure> {
+    check_program(program)?;
+    let clock = RunClock::start();
+    let recorder = Recorder::default();
+    let fronts = Fronts::new(free_addresses()?);
+    let proxies = start_proxies(program, plan, &fronts, clock, &recorder).await?;
+    let clients = start_clients(plan, &fronts, clock, &recorder);
+    if let Some(span) = plan.crowd {
+        for proxy in 0..PROXIES {
+            let count = max_descriptors(plan);
+            tokio::spawn(crowd(fronts.address(proxy), count, span, clock));
+        }
+    }
+    for client in clients {
+        client.await.map_err(Failure::in_step("a client"))?;
+    }
+    for proxy in proxies {
+        proxy.await.map_err(Failure::in_step("a proxy"))??;
+    }
+    Ok(recorder.take())
+}
+
+/// Starts the proxies, and before them the backends and discovery.
+async fn start_proxies(
+    program: &Path,
+    plan: &Plan,
+    fronts: &Fronts,
+    clock: RunClock,
+    recorder: &Recorder,
+) -> Result<Vec<JoinHandle<Result<(), Failure>>>, Failure> {
+    let backends = Backend::start_all(plan, clock, recorder).await?;
+    let (discovery, addresses) = Discovery::start(plan, backends, clock, recorder).await?;
+    let end = RUN_SECS + plan.deadline_secs + RESPONSE_GRACE_SECS + SOCKET_SLACK_SECS + TAIL_SECS;
+    let start = |(number, discovery_addresses)| {
+        let proxy = Proxy {
+            number,
+            program: program.to_path_buf(),
+            plan: plan.clone(),
+            discovery_addresses,
+            discovery: discovery.clone(),
+            fronts: fronts.clone(),
+            clock,
+            recorder: recorder.clone(),
+        };
+        tokio::spawn(proxy.run(end))
+    };
+    Ok(addresses.into_iter().enumerate().map(start).collect())
+}
+
+fn start_clients(
+    plan: &Plan,
+    fronts: &Fronts,
+    clock: RunClock,
+    recorder: &Recorder,
+) -> Vec<JoinHandle<()>> {
+    let start = |number| {
+        let client = Client {
+            number,
+            plan: plan.clone(),
+            fronts: fronts.clone(),
+            clock,
+            recorder: recorder.clone(),
+        };
+        tokio::spawn(client.run())
+    };
+    (0..plan.clients).map(start).collect()
+}
+
+/// Idle connections for a while, as many as the proxy may have descriptors.
+async fn crowd(address: SocketAddr, count: usize, span: Span, clock: RunClock) {
+    clock.sleep_until(span.from).await;
+    let mut connections = Vec::new();
+    for _ in 0..count {
+        connections.extend(TcpStream::connect(address).await.ok());
+    }
+    clock.sleep_until(span.to).await;
+}
+
+/// Free addresses, all of them different.
+fn free_addresses() -> Result<[SocketAddr; PROXIES], Failure> {
+    const STEP: &str = "a free port";
+    let mut listeners = Vec::new();
+    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); PROXIES];
+    for address in &mut addresses {
+        let listener = TcpListener::bind(*address).map_err(Failure::in_step(STEP))?;
+        *address = listener.local_addr().map_err(Failure::in_step(STEP))?;
+        listeners.push(listener);
+    }
+    Ok(addresses)
+}
