--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -307,7 +307,7 @@
         }
     }
 
-    /// Records that a backend served a request, which shows that it was not draining.
+    /// Records that a backend served a request: it accepted requests when this one was sent.
     fn record_acceptance(&mut self, attempt: &InFlightAttempt, end: &AttemptEnd) {
         if let Some(backend) = self.backends.get_mut(attempt.backend) {
             backend.health_mut().record_acceptance(Acceptance {
