--- a/crates/balancer/src/interface/action.rs
+++ b/crates/balancer/src/interface/action.rs
@@ -83,7 +83,8 @@
 /// A request that a backend has served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Acceptance {
-    /// When it was sent: the backend accepted requests then. Its drain may have been listed already.
+    /// When it was sent: the backend accepted requests then. Its drain may have been listed
+    /// already.
     pub sent_at: Time,
     /// When the connection was established on which it was sent, if the host knows that.
     pub connected_at: Option<Time>,
--- a/crates/fleet-simulator/src/soak/checks.rs
+++ b/crates/fleet-simulator/src/soak/checks.rs
@@ -1,5 +1,5 @@
-//! The operators' rules, checked on the records of a run. All limits are theirs; each is 50 ms longer
-//! on sockets.
+//! The operators' rules, checked on the records of a run. All limits are theirs; each is 50 ms
+//! longer on sockets.
 
 use super::clients::{RESPONSE_GRACE_SECS, SOCKET_SLACK_SECS};
 use super::discovery::{group, ZONES};
--- a/crates/fleet-simulator/src/soak/clients.rs
+++ b/crates/fleet-simulator/src/soak/clients.rs
@@ -1,5 +1,5 @@
-//! Stand-ins for clients. Each keeps a connection for as long as the proxy leaves it open, also after
-//! the proxy got SIGTERM, and has one request at a time.
+//! Stand-ins for clients. Each keeps a connection for as long as the proxy leaves it open, also
+//! after the proxy got SIGTERM, and has one request at a time.
 
 use super::http::{Broken, Message, MessageReader};
 use super::plan::{Plan, RUN_SECS};
--- a/crates/fleet-simulator/src/soak/discovery.rs
+++ b/crates/fleet-simulator/src/soak/discovery.rs
@@ -1,5 +1,5 @@
-//! A stand-in for discovery: two addresses for each proxy, which serve the same list, and the faults
-//! of the plan.
+//! A stand-in for discovery: two addresses for each proxy, which serve the same list, and the
+//! faults of the plan.
 
 use super::http::{Message, MessageReader};
 use super::plan::{BackendFault, DiscoveryFault, Plan, Span, PROXIES};
--- a/crates/fleet-simulator/src/soak/mod.rs
+++ b/crates/fleet-simulator/src/soak/mod.rs
@@ -1,6 +1,6 @@
 //! A soak: real proxy processes beside stand-ins for clients, backends and discovery, under faults
-//! that a seed draws. Every request, attempt and endpoint list is recorded, and the operators' rules
-//! are checked on the records.
+//! that a seed draws. Every request, attempt and endpoint list is recorded, and the operators'
+//! rules are checked on the records.
 //!
 //! - `plan` draws what happens in a run;
 //! - `world` starts the stand-ins and the proxies, and carries the plan out;
--- a/crates/fleet-simulator/src/soak/report.rs
+++ b/crates/fleet-simulator/src/soak/report.rs
@@ -73,8 +73,8 @@
     }
 }
 
-/// The lines that name the request of a violation: by its correlation id, and by the number that the
-/// process gave it.
+/// The lines that name the request of a violation: by its correlation id, and by the number that
+/// the process gave it.
 fn log_of(violation: &Violation, records: &Records) -> Vec<String> {
     let Some(id) = &violation.request else {
         return Vec::new();
@@ -102,8 +102,8 @@
         let plan = &self.plan;
         writeln!(
             formatter,
-            "seed {}: {} requests, {} served, {} not, {} attempts, {} processes; {:?}, {} backends, \
-             discovery {:?}, crowd {}, {} signals, faults {:?}",
+            "seed {}: {} requests, {} served, {} not, {} attempts, {} processes; {:?}, \
+             {} backends, discovery {:?}, crowd {}, {} signals, faults {:?}",
             plan.seed,
             self.requests,
             self.served,
