Soak: ports outside the ephemeral range, and the reason of a failed start in the report

Suspected: its port came from the ephemeral range, and a connection of another run took it between the choice and the start.

--- a/crates/fleet-simulator/src/soak/report.rs
+++ b/crates/fleet-simulator/src/soak/report.rs
@@ -77,7 +77,7 @@
 /// the process gave it.
 fn log_of(violation: &Violation, records: &Records) -> Vec<String> {
     let Some(id) = &violation.request else {
-        return Vec::new();
+        return faults_in_log(records);
     };
     let by_id = format!("correlation_id=\"{id}\"");
     let mut lines = Vec::new();
@@ -97,6 +97,18 @@
     lines
 }
 
+/// The lines that are no ordinary log lines or report an error, like the reason of a failed start.
+fn faults_in_log(records: &Records) -> Vec<String> {
+    let is_ordinary = |text: &str| {
+        [" DEBUG ", " INFO ", " WARN "]
+            .iter()
+            .any(|l| text.contains(l))
+    };
+    let faults = records.log.iter().filter(|line| !is_ordinary(&line.text));
+    let lines = faults.map(|line| format!("proxy {}: {}", line.proxy, line.text));
+    lines.take(MAX_LOG_LINES).collect()
+}
+
 impl Display for RunReport {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         let plan = &self.plan;
--- a/crates/fleet-simulator/src/soak/world.rs
+++ b/crates/fleet-simulator/src/soak/world.rs
@@ -7,11 +7,20 @@
 use super::proxies::{check_program, max_descriptors, Fronts, Proxy};
 use super::records::{Recorder, Records, RunClock};
 use crate::failure::Failure;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+/// The ports that proxies listen on.
+const FIRST_PORT: u16 = 10_000;
+const PORT_COUNT: u32 = 20_000;
+/// Keeps two soaks that run at once apart.
+const PORTS_PER_PROCESS: u32 = 101;
+/// Counts the ports that were tried.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 /// Proxies are watched for so long after the last client's time, s.
 const TAIL_SECS: f64 = 0.3;
 
@@ -94,15 +103,24 @@
     clock.sleep_until(span.to).await;
 }
 
-/// Free addresses, all of them different.
+/// Free addresses, all of them different. The ports are below those that the system gives to
+/// connections: one of these could take the port before the proxy listens on it, or between two of
+/// its processes.
 fn free_addresses() -> Result<[SocketAddr; PROXIES], Failure> {
-    const STEP: &str = "a free port";
-    let mut listeners = Vec::new();
     let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); PROXIES];
-    for address in &mut addresses {
-        let listener = TcpListener::bind(*address).map_err(Failure::in_step(STEP))?;
-        *address = listener.local_addr().map_err(Failure::in_step(STEP))?;
-        listeners.push(listener);
+    let mut count = 0;
+    while count < PROXIES {
+        let number = NEXT_PORT.fetch_add(1, Relaxed) + std::process::id() * PORTS_PER_PROCESS;
+        let port = FIRST_PORT + (number % PORT_COUNT) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        match TcpListener::bind(address) {
+            Ok(_) => {
+                addresses[count] = address;
+                count += 1;
+            }
+            Err(error) if error.kind() == ErrorKind::AddrInUse => {}
+            Err(error) => return Err(Failure::in_step("a free port")(error)),
+        }
     }
     Ok(addresses)
 }
