--- a/crates/fleet-simulator/src/soak/proxies.rs
+++ b/crates/fleet-simulator/src/soak/proxies.rs
@@ -172,7 +172,7 @@
             clock.sleep_until(now + FRONT_DELAY_SECS).await;
             front.set(number, false);
         });
-        // The configuration also changes during the shutdown.
+        // SIGHUP also comes during the shutdown; the file stays as it is.
         let hangups = self.plan.signals.iter().filter(|s| {
             let is_hangup = matches!(
                 s.signal,
