--- a/review/standins/src/stored_list.rs
+++ b/review/standins/src/stored_list.rs
@@ -17,7 +17,7 @@
 const KILLED: [usize; 2] = [0, 1];
 /// The backends that drain: three of nine.
 const DRAINING: [usize; 3] = [1, 4, 7];
-const CLIENTS: usize = 18;
+const CLIENTS: usize = 36;
 const INTERVAL: Duration = Duration::from_millis(200);
 /// How long a killed proxy stays down.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
