--- a/review/standins/src/discovery.rs
+++ b/review/standins/src/discovery.rs
@@ -44,7 +44,7 @@
 struct State {
     version: u64,
     entries: Vec<Entry>,
-    /// While discovery is down it is silent: calls are answered when it is back.
+    /// While discovery is down it is silent: calls that meet it then are never answered.
     is_down: bool,
 }
 
@@ -143,7 +143,11 @@
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Ok(Some(request)) = read_message(&mut reader) {
         let target = request.target().to_string();
-        let body = answer(&target, shared);
+        let Some(body) = answer(&target, shared) else {
+            // The call has fallen silent. Its connection stays open until the proxy closes it.
+            let _ = std::io::copy(&mut reader, &mut std::io::sink());
+            return;
+        };
         let response = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
@@ -154,22 +158,21 @@
     }
 }
 
-/// The body of the answer to a call.
-fn answer(target: &str, shared: &Shared) -> String {
+/// The body of the answer to a call, `None` if the call meets discovery while it is down.
+fn answer(target: &str, shared: &Shared) -> Option<String> {
     let after = query_number(target, "after");
     let wait = Duration::from_millis(query_number(target, "wait_ms").unwrap_or(0));
     let until = Instant::now() + wait;
     let mut state = shared.state.lock().unwrap();
     loop {
         if state.is_down {
-            state = shared.changed.wait(state).unwrap();
-            continue;
+            return None;
         }
         let left = until.saturating_duration_since(Instant::now());
         let is_due = after.is_none_or(|after| state.version > after) || left.is_zero();
         if is_due {
             let after = after.filter(|after| *after <= state.version);
-            return state.json(after);
+            return Some(state.json(after));
         }
         state = shared.changed.wait_timeout(state, left).unwrap().0;
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,9 +10,11 @@
 mod crowd;
 mod deployment;
 mod discovery;
+mod drain;
 mod http;
 mod proxy;
 mod record;
+mod return_of_discovery;
 mod spoilt_length;
 mod stored_list;
 
@@ -36,6 +38,7 @@
     let verdict = match case.as_str() {
         "spoilt-length" => spoilt_length::run(&record, has_trouble),
         "crowd" => crowd::run(&record, has_trouble),
+        "return-of-discovery" => return_of_discovery::run(&record, has_trouble),
         "stored-list" => stored_list::run(&record, has_trouble),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     };
--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -98,7 +98,6 @@
     child: Child,
     name: String,
     record: Record,
-    pub started_at: Instant,
 }
 
 impl Proxy {
@@ -132,7 +131,6 @@
             child,
             name,
             record: record.clone(),
-            started_at: Instant::now(),
         }
     }
 
