--- a/review/standins/src/spoilt_length.rs
+++ b/review/standins/src/spoilt_length.rs
@@ -138,8 +138,15 @@
         served.count(),
         spoilt.len()
     ));
+    let number = |answer: &Answer| spoilt.get(&answer.id).map_or(0, |attempt| attempt.number);
+    let on_new = wrong.iter().filter(|answer| number(answer) == 1).count();
+    record.result(format!(
+        "{} wrong answers with status 200: {on_new} on new connections to backends, {} on reused ones",
+        wrong.len(),
+        wrong.len() - on_new
+    ));
     for answer in wrong.iter().take(5) {
-        let number = spoilt.get(&answer.id).map_or(0, |attempt| attempt.number);
+        let number = number(answer);
         record.result(format!(
             "{} ({}), request {number} of its backend connection: status 200 with {} bytes: {:?}",
             answer.id,
