Notice bytes behind a response whose connection ends while it is read

The check for bytes behind a response existed for reused connections, and missed them. Two hypotheses: hyper keeps them to itself, or the proxy drops what hyper reports. A trace of both places that poll the connection showed the second, in 12 of 12 responses on new and reused connections: BackendConnection::run_exchange polled the connection, which read the body and the bytes behind it in one turn and ended with hyper's UnexpectedMessage; only the fact of the end was kept, and poll_ended, which looks for the error, returns at once for an ended connection.

Related, by the same cause: a response with Connection: close, or of HTTP/1.0, ends its connection in an orderly way, so there is no error even to drop.

HttpConnection now owns hyper's connection. When it has ended, or will not carry another request, it is taken apart; whatever it has read and not parsed, or else what waits unread on the socket, was asked for by no request. That depends neither on which poll ended the connection nor on hyper's error. Bytes that were read with the response no longer count as part of it when it is compared with its repetition.

response_lengths.rs, ten responses on a reused connection (lengths too short, also of 64 KiB, noise behind the last chunk, a second response, each also as the last one of its connection): before 10 of 10 were forwarded with status 200, now none is, and each request was sent once.

--- a/crates/proxy/src/backend_connection.rs
+++ b/crates/proxy/src/backend_connection.rs
@@ -5,19 +5,19 @@
 use crate::connection_monitor::ConnectionMonitor;
 use crate::count_guard::CountGuard;
 use crate::forwarded_request::MAX_BODY_BYTES;
-use crate::tracked_stream::{StreamProgress, TrackedStream, Unsolicited};
+use crate::http_connection::HttpConnection;
+use crate::tracked_stream::{StreamProgress, TrackedStream};
 use brookstack_balancer::{
     ClassId, LastResponse, Micros, ResponseArrival, SuccessfulResponse, Time,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
-use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::error::Error;
 use std::future::{poll_fn, Future};
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
@@ -62,13 +62,11 @@
 /// immediately.
 pub struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
-    connection: Pin<Box<Connection<TokioIo<TrackedStream>, Full<Bytes>>>>,
+    http: HttpConnection,
     /// The backend and the history of the connection.
     pub record: ConnectionRecord,
     /// How much of the current request was sent and of its response was read.
     pub progress: Rc<StreamProgress>,
-    /// Whether the connection's future has completed. A completed future must not be polled again.
-    ended: bool,
     clock: Clock,
     monitor: Rc<ConnectionMonitor>,
     /// The last response before the current request, and the rest after it; `None` if the current
@@ -98,10 +96,9 @@
             .map_err(HandshakeError)?;
         Ok(BackendConnection {
             sender,
-            connection: Box::pin(connection),
+            http: HttpConnection::new(connection),
             record,
             progress,
-            ended: false,
             clock,
             monitor,
             previous: None,
@@ -154,10 +151,10 @@
         let mut exchange = std::pin::pin!(send_and_receive(&mut self.sender, request));
         poll_fn(|cx| {
             let result = exchange.as_mut().poll(cx);
-            if self.ended || result.is_ready() {
+            if self.http.has_ended() || result.is_ready() {
                 return result;
             }
-            self.ended = self.connection.as_mut().poll(cx).is_ready();
+            let _ = self.http.poll_ended(cx);
             exchange.as_mut().poll(cx)
         })
         .await
@@ -168,23 +165,35 @@
     /// waiting would delay a good response until the deadline.
     pub async fn is_reusable(&mut self) -> bool {
         let ended = poll_fn(|cx| Poll::Ready(self.poll_ended(cx).is_ready())).await;
-        !ended && self.sender.is_ready()
+        let is_reusable = !ended && self.sender.is_ready();
+        if !is_reusable {
+            self.http.end();
+            self.record_remaining_input();
+        }
+        is_reusable
     }
 
     /// Becomes ready when the backend has closed the connection or has sent bytes that no request
-    /// asked for. A connection that has ended is not polled again.
+    /// asked for.
     pub fn poll_ended(&mut self, cx: &mut Context) -> Poll<()> {
-        if self.ended {
-            return Poll::Ready(());
+        ready!(self.http.poll_ended(cx));
+        self.record_remaining_input();
+        Poll::Ready(())
+    }
+
+    /// Records the bytes that an ended connection has left behind its last response.
+    fn record_remaining_input(&mut self) {
+        let Some(ended) = self.http.take_ended() else {
+            return;
+        };
+        if self.progress.has_unsolicited() {
+            return;
         }
-        let result = ready!(self.connection.as_mut().poll(cx));
-        self.ended = true;
-        // Without a lost connection the error is about bytes that hyper read behind a response.
-        let progress = &self.progress;
-        if result.is_err() && !progress.connection_lost.get() && !progress.has_unsolicited() {
-            progress.unsolicited.set(Some(Unsolicited::OtherBytes));
+        if ended.unparsed.is_empty() {
+            ended.stream.look_for_unread_input();
+        } else {
+            self.progress.record_bytes_behind_response(&ended.unparsed);
         }
-        Poll::Ready(())
     }
 
     /// How the response to the last request arrived.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod discovery;
 mod driver;
 mod forwarded_request;
+mod http_connection;
 mod idle_connection;
 mod log_target;
 mod message;
--- a/crates/proxy/src/tracked_stream.rs
+++ b/crates/proxy/src/tracked_stream.rs
@@ -39,6 +39,12 @@
         self.prefix.extend_from_slice(&bytes[..kept]);
     }
 
+    /// Takes back the last `count` bytes, which belong to no response.
+    fn remove_last(&mut self, count: usize) {
+        self.length = self.length.saturating_sub(count);
+        self.prefix.truncate(self.length);
+    }
+
     fn is_beginning_of(&self, bytes: &[u8]) -> bool {
         !self.prefix.is_empty() && bytes.starts_with(&self.prefix)
     }
@@ -106,6 +112,12 @@
         hasher.finish()
     }
 
+    /// Records bytes that were read as part of the last response and are behind its end.
+    pub fn record_bytes_behind_response(&self, bytes: &[u8]) {
+        self.response.borrow_mut().remove_last(bytes.len());
+        self.record_unexpected_input(bytes);
+    }
+
     /// Records the result of a look at the socket while no response is awaited.
     fn record_unexpected_input(&self, bytes: &[u8]) {
         if bytes.is_empty() {
@@ -167,6 +179,12 @@
         }
     }
 
+    /// Records unread input, if no response is awaited.
+    pub fn look_for_unread_input(&self) {
+        // The progress has the result.
+        let _ = self.ensure_no_unread_input();
+    }
+
     /// Updates the progress with the result of a write.
     fn record_write(&self, written: &Poll<io::Result<usize>>) {
         match written {
