Learn no long rest of connections from noise, which no parser takes for a response

Cause: bytes that no request asked for lengthen the rest of all connections, for repetitions of the last response by the time since then, for all others by the time since the first response on the connection, since they may be a second response to any of its requests. Noise right behind a response, which is noticed now, therefore closed every connection after each response for 5 s.

A rest keeps a late second response from being taken for the response to a later request. Bytes that do not begin like a response cannot be taken for one: the parser fails and the attempt with it. So their lag counts from the last response. Bytes that begin like a response, or are too few to tell, count as before; empty lines in front, which the parser skips, do not make a response noise.

The log line "bytes from a backend that no request asked for" tells the kind of the bytes.

The tests of late second responses (response_matching) pass.

--- a/crates/balancer/src/connection_reuse.rs
+++ b/crates/balancer/src/connection_reuse.rs
@@ -47,18 +47,30 @@
     pub since_first_response: Micros,
     /// The time since the last response on the connection.
     pub since_last_response: Micros,
-    /// Whether the bytes are the same as the beginning of the last response, so that they are its
-    /// repetition.
-    pub repeat_last_response: bool,
+    /// What the bytes are.
+    pub kind: UnsolicitedKind,
+}
+
+/// What bytes are that no request asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnsolicitedKind {
+    /// They begin like the last response, so that they are its repetition.
+    RepeatedResponse,
+    /// They begin like another response, or are too few to tell.
+    OtherResponse,
+    /// They are no response, so that they cannot be taken for the response to another request. They
+    /// belong to the last response, or are noise.
+    NoResponse,
 }
 
 impl UnsolicitedBytes {
     /// The longest time that may have passed between a response and a second one to its request.
     fn longest_lag(self) -> Micros {
-        if self.repeat_last_response {
-            self.since_last_response
-        } else {
-            self.since_first_response
+        match self.kind {
+            UnsolicitedKind::RepeatedResponse | UnsolicitedKind::NoResponse => {
+                self.since_last_response
+            }
+            UnsolicitedKind::OtherResponse => self.since_first_response,
         }
     }
 }
--- a/crates/balancer/src/connection_reuse/tests.rs
+++ b/crates/balancer/src/connection_reuse/tests.rs
@@ -27,7 +27,7 @@
     UnsolicitedBytes {
         since_first_response: Micros(30_000_000),
         since_last_response: Micros(millis * 1_000),
-        repeat_last_response: true,
+        kind: UnsolicitedKind::RepeatedResponse,
     }
 }
 
@@ -66,18 +66,35 @@
 }
 
 #[test]
-fn bytes_that_repeat_nothing_may_belong_to_any_earlier_request_of_the_connection() {
+fn another_response_may_belong_to_any_earlier_request_of_the_connection() {
     let mut reuse = ConnectionReuse::default();
     let bytes = UnsolicitedBytes {
         since_first_response: Micros(300_000),
         since_last_response: Micros(5_000),
-        repeat_last_response: false,
+        kind: UnsolicitedKind::OtherResponse,
     };
     reuse.record_unsolicited(START, bytes);
     assert!(!reuse.may_reuse(after_start(599), Some(success_at(START))));
     assert!(reuse.may_reuse(after_start(600), Some(success_at(START))));
 }
 
+/// Guards against connections that are closed after each response because of noise behind a response,
+/// which cannot be taken for a response.
+#[test]
+fn bytes_that_are_no_response_belong_to_the_last_response_of_the_connection() {
+    let mut reuse = ConnectionReuse::default();
+    let bytes = |since_last_response| UnsolicitedBytes {
+        since_first_response: Micros(30_000_000),
+        since_last_response: Micros(since_last_response),
+        kind: UnsolicitedKind::NoResponse,
+    };
+    reuse.record_unsolicited(START, bytes(0));
+    assert!(reuse.may_reuse(after_start(100), Some(success_at(START))));
+    reuse.record_unsolicited(START, bytes(90_000));
+    assert!(!reuse.may_reuse(after_start(179), Some(success_at(START))));
+    assert!(reuse.may_reuse(after_start(180), Some(success_at(START))));
+}
+
 #[test]
 fn connections_are_closed_after_each_response_while_second_responses_take_long() {
     let mut reuse = ConnectionReuse::default();
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -51,7 +51,7 @@
 pub use balancer::Balancer;
 pub use connection_reuse::{
     ConnectionReuse, LastResponse, ResponseArrival, ResponseDoubt, SuccessfulResponse,
-    UnsolicitedBytes,
+    UnsolicitedBytes, UnsolicitedKind,
 };
 pub use halb::{halb_shares, MachineGroup};
 pub use host::{TimerQueue, RESPONSE_GRACE_TICKS};
--- a/crates/proxy/src/connection_log.rs
+++ b/crates/proxy/src/connection_log.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{Clock, MICROS_PER_MILLISECOND};
 use crate::log_target;
-use brookstack_balancer::{LastResponse, Micros, Time};
+use brookstack_balancer::{LastResponse, Micros, Time, UnsolicitedKind};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -121,7 +121,7 @@
 
     /// Writes a line for bytes that arrived although no request asked for them. The time since the
     /// last response shows how late a second response comes.
-    pub fn write_unsolicited(&self, connection: &ConnectionRecord, repeats_response: bool) {
+    pub fn write_unsolicited(&self, connection: &ConnectionRecord, kind: UnsolicitedKind) {
         let now = self.clock.now();
         let Some(dropped) = self.warnings.allow(now) else {
             return;
@@ -132,7 +132,7 @@
             address = %connection.address,
             since_response_ms = connection.last_response.map(|last| millis(now - last.at)),
             requests = connection.requests,
-            repeats_response,
+            ?kind,
             dropped,
             "bytes from a backend that no request asked for"
         );
--- a/crates/proxy/src/connection_monitor.rs
+++ b/crates/proxy/src/connection_monitor.rs
@@ -3,9 +3,8 @@
 
 use crate::clock::Clock;
 use crate::connection_log::{CloseReason, ConnectionLog, ConnectionRecord};
-use crate::tracked_stream::Unsolicited;
 use brookstack_balancer::{
-    ConnectionReuse, ResponseArrival, ResponseDoubt, Time, UnsolicitedBytes,
+    ConnectionReuse, ResponseArrival, ResponseDoubt, Time, UnsolicitedBytes, UnsolicitedKind,
 };
 use std::cell::RefCell;
 
@@ -50,10 +49,9 @@
     }
 
     /// Reports bytes that no request asked for.
-    pub fn report_unsolicited(&self, connection: &ConnectionRecord, unsolicited: Unsolicited) {
+    pub fn report_unsolicited(&self, connection: &ConnectionRecord, kind: UnsolicitedKind) {
         let now = self.clock.now();
-        let repeat_last_response = unsolicited == Unsolicited::RepeatedResponse;
-        self.log.write_unsolicited(connection, repeat_last_response);
+        self.log.write_unsolicited(connection, kind);
         let (Some(first_response_at), Some(last_response)) =
             (connection.first_response_at, connection.last_response)
         else {
@@ -62,7 +60,7 @@
         let bytes = UnsolicitedBytes {
             since_first_response: now - first_response_at,
             since_last_response: now - last_response.at,
-            repeat_last_response,
+            kind,
         };
         self.reuse.borrow_mut().record_unsolicited(now, bytes);
     }
--- a/crates/proxy/src/tracked_stream.rs
+++ b/crates/proxy/src/tracked_stream.rs
@@ -1,6 +1,7 @@
 //! A socket to a backend that records how much of the current request was sent and of its response
 //! was read.
 
+use brookstack_balancer::UnsolicitedKind;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -13,15 +14,8 @@
 
 /// The number of bytes at the beginning of a response that are kept, to recognize its repetition.
 const MAX_PREFIX_BYTES: usize = 256;
-
-/// Bytes that arrived although no request asked for them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unsolicited {
-    /// They begin like the last response, so that they are its repetition.
-    RepeatedResponse,
-    /// They begin otherwise, or it is not known how.
-    OtherBytes,
-}
+/// The beginning of every response.
+const STATUS_LINE_START: &[u8] = b"HTTP/";
 
 /// The length of a response and its first bytes.
 #[derive(Default, Hash)]
@@ -50,6 +44,15 @@
     }
 }
 
+/// Whether a parser can take the bytes for the beginning of a response. It skips empty lines.
+fn may_begin_response(bytes: &[u8]) -> bool {
+    let is_line_end = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    let start = bytes.iter().position(|byte| !is_line_end(byte));
+    let line = start.map_or(&[][..], |start| &bytes[start..]);
+    let compared = line.len().min(STATUS_LINE_START.len());
+    line[..compared] == STATUS_LINE_START[..compared]
+}
+
 /// How much of the current request was sent and of its response was read, and whether the
 /// connection was lost.
 #[derive(Default)]
@@ -69,7 +72,7 @@
     response: RefCell<ResponseBeginning>,
     /// The bytes that arrived although no request asked for them: while no request was under way,
     /// before the first byte of a request was written, or right after a response.
-    pub unsolicited: Cell<Option<Unsolicited>>,
+    pub unsolicited: Cell<Option<UnsolicitedKind>>,
 }
 
 impl StreamProgress {
@@ -124,12 +127,14 @@
             self.connection_lost.set(true);
             return;
         }
-        self.unsolicited
-            .set(Some(if self.response.borrow().is_beginning_of(bytes) {
-                Unsolicited::RepeatedResponse
-            } else {
-                Unsolicited::OtherBytes
-            }));
+        let kind = if self.response.borrow().is_beginning_of(bytes) {
+            UnsolicitedKind::RepeatedResponse
+        } else if may_begin_response(bytes) {
+            UnsolicitedKind::OtherResponse
+        } else {
+            UnsolicitedKind::NoResponse
+        };
+        self.unsolicited.set(Some(kind));
     }
 }
 
