Take no answer of discovery that more bytes follow

What callers saw: requests to backends that discovery had listed as gone, for as long as each answer of discovery had an old answer in front of it.

Cause: as for backends, the bytes behind the announced end of a response were read and dropped: the task of the connection to discovery wrote hyper's error to the debug log, and the answer counted as whole. A list that is cut short is no valid JSON, so the length alone did no harm here; an old answer in front of the real one does, since it confirms the list that the proxy has.

Change: the call now polls its connection itself, through HttpConnection, which becomes generic over stream and body and takes over the shared loop of an exchange. After the body the connection is taken apart; if bytes are left in its buffer or on the socket, the answer is spoilt (AnswerError:: FollowedByBytes), which confirms nothing. Looking at the socket itself is one function now.

--- a/crates/proxy/src/backend_connection.rs
+++ b/crates/proxy/src/backend_connection.rs
@@ -17,7 +17,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::error::Error;
-use std::future::{poll_fn, Future};
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::net::TcpStream;
@@ -62,7 +62,7 @@
 /// immediately.
 pub struct BackendConnection {
     sender: SendRequest<Full<Bytes>>,
-    http: HttpConnection,
+    http: HttpConnection<TrackedStream, Full<Bytes>>,
     /// The backend and the history of the connection.
     pub record: ConnectionRecord,
     /// How much of the current request was sent and of its response was read.
@@ -107,10 +107,7 @@
         })
     }
 
-    /// Sends a request of the given class and reads the complete response, and polls the connection
-    /// while doing so. If the connection ends, the exchange completes too: with the response if
-    /// that is complete, otherwise with an error. The exchange is polled before the connection, so
-    /// that the first poll of the connection already has the request to write.
+    /// Sends a request of the given class and reads the complete response.
     pub async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -124,7 +121,8 @@
             success: last.success,
             rest: now - last.at,
         });
-        let result = self.run_exchange(request).await;
+        let exchange = send_and_receive(&mut self.sender, request);
+        let result = self.http.run(exchange).await;
         if let Ok(response) = &result {
             self.progress.end_exchange();
             self.record_response(response.status(), class);
@@ -144,22 +142,6 @@
         });
     }
 
-    async fn run_exchange(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, ExchangeError> {
-        let mut exchange = std::pin::pin!(send_and_receive(&mut self.sender, request));
-        poll_fn(|cx| {
-            let result = exchange.as_mut().poll(cx);
-            if self.http.has_ended() || result.is_ready() {
-                return result;
-            }
-            let _ = self.http.poll_ended(cx);
-            exchange.as_mut().poll(cx)
-        })
-        .await
-    }
-
     /// Whether the connection can be used for another request: the backend has not closed it, and
     /// the last response is complete. The connection is polled once without waiting, because
     /// waiting would delay a good response until the deadline.
--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -2,9 +2,10 @@
 //!
 //! A response does not name its call. On a connection with several calls, a second copy of an old
 //! answer could be taken for the answer to a later call, and confirm a list that has changed since.
+//! For the same reason an answer that more bytes follow is of no use.
 
 use super::endpoint_list::{self, EndpointList, EndpointListError};
-use crate::log_target;
+use crate::http_connection::{read_waiting_input, HttpConnection};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Body, Incoming};
@@ -14,7 +15,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 /// The time limit for establishing a connection to discovery.
@@ -33,6 +33,9 @@
     /// The body did not arrive within [`ANSWER_TIMEOUT`].
     #[error("the response body is incomplete after {} ms", ANSWER_TIMEOUT.as_millis())]
     TimedOut,
+    /// More bytes followed the response, so it may be an old answer, or its length too short.
+    #[error("more bytes followed the response")]
+    FollowedByBytes,
     /// The body is not a valid list.
     #[error("invalid endpoint list: {0}")]
     InvalidList(#[from] EndpointListError),
@@ -94,14 +97,7 @@
     /// How long it took to connect: the round-trip time of the network.
     connect_time: Duration,
     sender: SendRequest<Empty<Bytes>>,
-    /// The task that reads from and writes to the socket.
-    connection_task: JoinHandle<()>,
-}
-
-impl Drop for DiscoveryConnection {
-    fn drop(&mut self) {
-        self.connection_task.abort();
-    }
+    http: HttpConnection<TcpStream, Empty<Bytes>>,
 }
 
 impl DiscoveryConnection {
@@ -114,35 +110,27 @@
         let connect_time = started.elapsed();
         let _ = stream.set_nodelay(true);
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let connection_task = tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(
-                    target: log_target::DISCOVERY,
-                    "connection to discovery at {address} failed: {error}"
-                );
-            }
-        });
         Ok(DiscoveryConnection {
             address,
             connect_time,
             sender,
-            connection_task,
+            http: HttpConnection::new(connection),
         })
     }
 
     async fn get(mut self, path: &str, max_list_bytes: usize) -> Result<Answer, DiscoveryError> {
-        self.sender.ready().await?;
-        let sent_at = Instant::now();
         let request = Request::get(path)
             .header(hyper::header::HOST, self.address.to_string())
             .body(Empty::new())?;
-        let response = self.sender.send_request(request).await?;
+        let sent_at = Instant::now();
+        let response = self.http.run(self.sender.send_request(request)).await?;
         let begun_at = Instant::now();
         let status = response.status();
         if status != StatusCode::OK {
             return Err(DiscoveryError::Status(status));
         }
-        let list = read_list(response.into_body(), max_list_bytes)
+        let list = self
+            .read_list(response.into_body(), max_list_bytes)
             .await
             .map_err(|error| DiscoveryError::AnswerSpoilt { begun_at, error })?;
         Ok(Answer {
@@ -151,13 +139,31 @@
             service_time: (begun_at - sent_at).saturating_sub(self.connect_time),
         })
     }
-}
 
-async fn read_list(body: Incoming, max_bytes: usize) -> Result<EndpointList, AnswerError> {
-    let json = tokio::time::timeout(ANSWER_TIMEOUT, read_body(body, max_bytes))
-        .await
-        .map_err(|_| AnswerError::TimedOut)??;
-    Ok(endpoint_list::parse(&json)?)
+    /// Reads the body of the response, the last one on the connection.
+    async fn read_list(
+        &mut self,
+        body: Incoming,
+        max_bytes: usize,
+    ) -> Result<EndpointList, AnswerError> {
+        let read = self.http.run(read_body(body, max_bytes));
+        let json = tokio::time::timeout(ANSWER_TIMEOUT, read)
+            .await
+            .map_err(|_| AnswerError::TimedOut)??;
+        if self.has_more_input() {
+            return Err(AnswerError::FollowedByBytes);
+        }
+        Ok(endpoint_list::parse(&json)?)
+    }
+
+    /// Whether more bytes have arrived after the response. Ends the connection.
+    fn has_more_input(&mut self) -> bool {
+        self.http.end();
+        self.http.take_ended().is_some_and(|ended| {
+            let waiting = read_waiting_input(&ended.stream, &mut [0]);
+            !ended.unparsed.is_empty() || matches!(waiting, Ok(Some(1..)))
+        })
+    }
 }
 
 /// Reads a body into a buffer of the announced length. A list can be large, and a buffer that grows
--- a/crates/proxy/src/http_connection.rs
+++ b/crates/proxy/src/http_connection.rs
@@ -1,59 +1,72 @@
-//! The HTTP/1.1 protocol of one connection to a backend, up to its end.
+//! The HTTP/1.1 protocol of one connection to a backend or to discovery, up to its end.
 
-use crate::tracked_stream::TrackedStream;
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::{Connection, Parts};
+use hyper::body::Body;
+use hyper::client::conn::http1::Connection;
 use hyper_util::rt::TokioIo;
-use std::future::Future;
-use std::pin::Pin;
+use socket2::SockRef;
+use std::future::{poll_fn, Future};
+use std::io::{self, ErrorKind, Read};
+use std::pin::{pin, Pin};
 use std::task::{ready, Context, Poll};
-
-type Http1 = Connection<TokioIo<TrackedStream>, Full<Bytes>>;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
 
 /// What is left of a connection after its end.
-pub struct EndedConnection {
+pub struct EndedConnection<S> {
     /// The bytes that were read and belong to no response.
     pub unparsed: Bytes,
     /// The stream, which may have unread bytes.
-    pub stream: TrackedStream,
-}
-
-impl From<Parts<TokioIo<TrackedStream>>> for EndedConnection {
-    fn from(parts: Parts<TokioIo<TrackedStream>>) -> EndedConnection {
-        EndedConnection {
-            unparsed: parts.read_buf,
-            stream: parts.io.into_inner(),
-        }
-    }
+    pub stream: S,
 }
 
-/// A connection that reads and writes only while it is polled.
-pub struct HttpConnection {
+/// A connection over the stream `S` that sends bodies `B`. It reads and writes only while it is
+/// polled.
+pub struct HttpConnection<S, B>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    B: Body + 'static,
+{
     /// `None` after the end: a completed future must not be polled again.
-    http1: Option<Box<Http1>>,
+    http1: Option<Box<Connection<TokioIo<S>, B>>>,
     /// Set at the end, until it is taken.
-    ended: Option<EndedConnection>,
+    ended: Option<EndedConnection<S>>,
 }
 
-impl HttpConnection {
+impl<S, B> HttpConnection<S, B>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+    B: Body<Data = Bytes, Error: std::error::Error + Send + Sync> + Unpin + 'static,
+{
     /// Wraps a connection that has not ended.
-    pub fn new(http1: Http1) -> HttpConnection {
+    pub fn new(http1: Connection<TokioIo<S>, B>) -> HttpConnection<S, B> {
         HttpConnection {
             http1: Some(Box::new(http1)),
             ended: None,
         }
     }
 
-    /// Whether the connection has ended.
-    pub fn has_ended(&self) -> bool {
-        self.http1.is_none()
+    /// Runs an exchange, and polls the connection while doing so. If the connection ends, the
+    /// exchange completes too: with the response if that is complete, otherwise with an error. The
+    /// exchange is polled before the connection, so that the first poll of the connection already
+    /// has the request to write.
+    pub async fn run<T>(&mut self, exchange: impl Future<Output = T>) -> T {
+        let mut exchange = pin!(exchange);
+        poll_fn(|cx| {
+            let result = exchange.as_mut().poll(cx);
+            if self.http1.is_none() || result.is_ready() {
+                return result;
+            }
+            let _ = self.poll_ended(cx);
+            exchange.as_mut().poll(cx)
+        })
+        .await
     }
 
     /// Reads and writes; becomes ready when the connection has ended, for whatever reason.
     pub fn poll_ended(&mut self, cx: &mut Context) -> Poll<()> {
         if let Some(http1) = &mut self.http1 {
-            // The progress of the stream and the unparsed bytes show why it has ended.
+            // The stream and the unparsed bytes show why it has ended.
             let _ = ready!(Pin::new(http1).poll(cx));
             self.end();
         }
@@ -63,12 +76,26 @@
     /// Ends the connection without closing its stream.
     pub fn end(&mut self) {
         if let Some(http1) = self.http1.take() {
-            self.ended = Some(http1.into_parts().into());
+            let parts = http1.into_parts();
+            self.ended = Some(EndedConnection {
+                unparsed: parts.read_buf,
+                stream: parts.io.into_inner(),
+            });
         }
     }
 
     /// Takes what the connection has left, once after its end.
-    pub fn take_ended(&mut self) -> Option<EndedConnection> {
+    pub fn take_ended(&mut self) -> Option<EndedConnection<S>> {
         self.ended.take()
     }
 }
+
+/// Reads input that waits on the socket itself, because the runtime may not have noticed it yet.
+/// Returns the number of bytes read, 0 at the end of the stream, or `None` if nothing waits.
+pub fn read_waiting_input(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<Option<usize>> {
+    match (&*SockRef::from(stream)).read(buffer) {
+        Ok(length) => Ok(Some(length)),
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(None),
+        Err(e) => Err(e),
+    }
+}
--- a/crates/proxy/src/tracked_stream.rs
+++ b/crates/proxy/src/tracked_stream.rs
@@ -1,11 +1,11 @@
 //! A socket to a backend that records how much of the current request was sent and of its response
 //! was read.
 
+use crate::http_connection::read_waiting_input;
 use brookstack_balancer::UnsolicitedKind;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io::{self, ErrorKind, IoSlice, Read};
+use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -161,26 +161,25 @@
 
     /// While no response is awaited, fails if the socket has unread input or the backend has closed
     /// the connection. Bytes that arrived before the request are not its response, and a response
-    /// does not identify the request that it answers. This reads the socket itself, because the
-    /// runtime may not have noticed the bytes yet.
+    /// does not identify the request that it answers.
     fn ensure_no_unread_input(&self) -> io::Result<()> {
         if self.progress.awaits_response() {
             return Ok(());
         }
         let mut buffer = [0; MAX_PREFIX_BYTES];
-        match (&*SockRef::from(&self.stream)).read(&mut buffer) {
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(()),
-            Err(e) => {
-                self.progress.connection_lost.set(true);
-                Err(e)
-            }
-            Ok(length) => {
+        match read_waiting_input(&self.stream, &mut buffer) {
+            Ok(None) => Ok(()),
+            Ok(Some(length)) => {
                 self.progress.record_unexpected_input(&buffer[..length]);
                 Err(io::Error::new(
                     ErrorKind::ConnectionReset,
                     "the backend closed the connection or sent data after its last response",
                 ))
             }
+            Err(e) => {
+                self.progress.connection_lost.set(true);
+                Err(e)
+            }
         }
     }
 
--- a/crates/proxy/tests/discovery_faults.rs
+++ b/crates/proxy/tests/discovery_faults.rs
@@ -236,6 +236,14 @@
     assert_eq!(late_requests, 0);
 }
 
+/// Guards against an answer that is taken for a whole one although more bytes follow it (review case
+/// 1, on the connection to discovery): an old answer in front of the real one confirmed the list.
+#[test]
+fn an_answer_that_more_bytes_follow_does_not_confirm_the_list() {
+    let late_requests = late_requests_while(DiscoveryBehavior::PutsOldAnswersFirst);
+    assert_eq!(late_requests, 0);
+}
+
 /// Removes backends from the list, which go on serving, while no call gets a complete answer.
 /// Returns how many requests these backends get from the grace's end to 14 s after the change.
 fn late_requests_while(behavior: DiscoveryBehavior) -> usize {
--- a/crates/proxy/tests/support/faulty_discovery.rs
+++ b/crates/proxy/tests/support/faulty_discovery.rs
@@ -39,6 +39,8 @@
     /// Leaves all calls open without an answer of their own, and sends the last answer on the
     /// connection again after 1.5 s.
     RepeatsOldAnswers,
+    /// Writes an old answer, which tells no change, and right behind it the answer to the call.
+    PutsOldAnswersFirst,
     /// Answers each call with status 503 at once.
     Rejects,
     /// Closes the connection without an answer.
@@ -140,7 +142,7 @@
                 DiscoveryBehavior::FallsSilentAndResets => std::thread::sleep(SILENCE),
                 _ => {}
             }
-            if !self.write_answer(&mut stream, &answer) {
+            if !self.write_answer(&mut stream, after, &answer) {
                 if !self.resets() {
                     let _ = stream.shutdown(Shutdown::Both);
                 }
@@ -166,7 +168,7 @@
         state.waiting_calls -= 1;
         let first = after.unwrap_or(0) as usize;
         let entries: Vec<Value> = state.changes[first..].concat();
-        json!({"index": state.changes.len(), "snapshot": false, "endpoints": entries}).to_string()
+        answer_body(state.changes.len() as u64, &entries)
     }
 
     /// Whether the connection of a failed call is reset.
@@ -181,8 +183,8 @@
         self.state.0.lock().unwrap().behavior
     }
 
-    /// Answers a call; returns whether the connection stays open.
-    fn write_answer(&self, stream: &mut TcpStream, body: &str) -> bool {
+    /// Answers a call for the changes after a version; returns whether the connection stays open.
+    fn write_answer(&self, stream: &mut TcpStream, after: Option<u64>, body: &str) -> bool {
         let answer = complete_answer(body);
         let (half, rest) = answer.as_bytes().split_at(answer.len() - body.len() / 2);
         let rejection = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
@@ -191,6 +193,10 @@
                 self.state.0.lock().unwrap().answers_written += 1;
                 write_complete(stream, body)
             }
+            DiscoveryBehavior::PutsOldAnswersFirst => {
+                let old_answer = complete_answer(&answer_body(after.unwrap_or(0), &[]));
+                stream.write_all((old_answer + &answer).as_bytes()).is_ok()
+            }
             DiscoveryBehavior::TimesOutInQueue | DiscoveryBehavior::Rejects => {
                 stream.write_all(rejection).is_ok()
             }
@@ -222,6 +228,11 @@
     }
 }
 
+/// The changes up to a version.
+fn answer_body(version: u64, entries: &[Value]) -> String {
+    json!({"index": version, "snapshot": false, "endpoints": entries}).to_string()
+}
+
 fn complete_answer(body: &str) -> String {
     let length = body.len();
     format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
