Fail a response whose two lengths contradict each other or whose coding is unknown

What callers saw: status 200 with the first 5 of 10 announced bytes, where a backend sent both Content-Length and Transfer-Encoding; or a body that is still encoded, without the header that says so.

Cause: where Transfer-Encoding is present the parser ignores Content-Length, as RFC 9112 allows, and takes a body whose last coding is not chunked up to the end of the connection. The proxy removes both headers and announces the length that it has. The check for truncated bodies without a length passes over these, because they have a header.

Change: body_length.rs. With Transfer-Encoding, the coding must be chunked alone, and each Content-Length that is there must be that of the decoded body. Otherwise the attempt has failed and may have run; a promise in such a response is not believed.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod backend_connection;
 mod backend_response;
+mod body_length;
 mod clock;
 mod config;
 mod connection_log;
--- a/crates/proxy/tests/response_lengths.rs
+++ b/crates/proxy/tests/response_lengths.rs
@@ -1,5 +1,6 @@
-//! Responses with bytes behind their announced end. A length that is too short and a good response
-//! that noise follows look the same, so neither is forwarded, nor is its promise believed.
+//! Responses whose length is in doubt: with bytes behind their announced end, since a length that is
+//! too short and a good response that noise follows look the same, and with lengths that contradict
+//! each other. None is forwarded, nor is its promise believed.
 
 mod support;
 
@@ -24,13 +25,15 @@
     attempts: usize,
 }
 
-/// The outcome of a request of this class to a backend that responds to it with `response` and keeps
-/// the connection open.
-fn outcome_of(class: &str, response: &str, position: Position) -> Outcome {
-    let text = response.to_string();
+/// The outcome of a request of this class to a backend that responds to it with `respond`.
+fn outcome_of(
+    class: &str,
+    position: Position,
+    respond: impl Fn() -> Reply + Send + Sync + 'static,
+) -> Outcome {
     let backend = FakeBackend::start(move |request| {
         if request.start_line_contains("/doubtful") {
-            Reply::Respond(text.clone())
+            respond()
         } else {
             ok_response("usual")
         }
@@ -100,9 +103,46 @@
     format!("HTTP/1.1 200 OK\r\n{header}Content-Length: {length}\r\n\r\n{body}")
 }
 
-/// The names of the responses that are forwarded, or not treated like those of a request that has
-/// failed after one attempt, with the outcomes.
-fn wrong_outcomes(position: Position) -> Vec<(&'static str, Outcome)> {
+/// Responses with two lengths that contradict each other, or with a transfer coding that the proxy
+/// cannot decode. The backend closes the connection behind them.
+const CONTRADICTORY_RESPONSES: [(&str, &str); 5] = [
+    (
+        "Content-Length above the length of the chunks",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nTransfer-Encoding: chunked\r\n\r\n\
+         5\r\n01234\r\n0\r\n\r\n",
+    ),
+    (
+        "Content-Length under the length of the chunks",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n\
+         5\r\n01234\r\n0\r\n\r\n",
+    ),
+    (
+        "a truncated body with an unknown coding",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nTransfer-Encoding: gzip\r\n\r\n01234",
+    ),
+    (
+        "an unknown coding",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n01234",
+    ),
+    (
+        "an unknown coding in chunks",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\n01234\r\n0\r\n\r\n",
+    ),
+];
+
+/// The outcomes that are not those of a request that has failed after one attempt.
+fn wrong_outcomes(
+    outcomes: impl Iterator<Item = (&'static str, Outcome)>,
+) -> Vec<(&'static str, Outcome)> {
+    let failed = Outcome {
+        status: 502,
+        attempts: 1,
+    };
+    outcomes.filter(|(_, outcome)| *outcome != failed).collect()
+}
+
+/// The wrong outcomes of responses that more bytes follow.
+fn wrong_outcomes_of_followed_responses(position: Position) -> Vec<(&'static str, Outcome)> {
     let long_responses = [
         ("64 KiB", long_response("")),
         (
@@ -112,24 +152,46 @@
     ];
     let short_responses = SHORT_RESPONSES.map(|(name, text)| (name, text.to_string()));
     let responses = short_responses.into_iter().chain(long_responses);
-    let outcomes = responses.map(|(name, text)| (name, outcome_of("pay", &text, position)));
-    let failed = Outcome {
-        status: 502,
-        attempts: 1,
-    };
-    outcomes.filter(|(_, outcome)| *outcome != failed).collect()
+    wrong_outcomes(responses.map(|(name, text)| {
+        let respond = move || Reply::Respond(text.clone());
+        (name, outcome_of("pay", position, respond))
+    }))
 }
 
 /// Guards against a response that is cut off at too short a length and forwarded as a whole one
 /// (review case 1), on a connection that has carried a response before.
 #[test]
 fn a_later_response_on_a_connection_is_not_forwarded_if_bytes_follow_it() {
-    assert_eq!(wrong_outcomes(Position::Later), []);
+    assert_eq!(wrong_outcomes_of_followed_responses(Position::Later), []);
 }
 
 /// Guards against a response that is cut off at too short a length and forwarded as a whole one
 /// (review case 1), on a new connection.
 #[test]
 fn the_first_response_on_a_connection_is_not_forwarded_if_bytes_follow_it() {
-    assert_eq!(wrong_outcomes(Position::First), []);
+    assert_eq!(wrong_outcomes_of_followed_responses(Position::First), []);
+}
+
+/// Guards against a response that is cut off or not decoded and forwarded as a whole one, because one
+/// of its two lengths, or a part of its transfer coding, is ignored.
+#[test]
+fn a_response_with_contradictory_lengths_or_an_unknown_coding_is_not_forwarded() {
+    let outcomes = CONTRADICTORY_RESPONSES.into_iter().map(|(name, text)| {
+        let respond = move || Reply::RespondAndClose(text.to_string());
+        (name, outcome_of("pay", Position::First, respond))
+    });
+    assert_eq!(wrong_outcomes(outcomes), []);
+}
+
+/// Guards against a check of lengths that is too strict: both say the same here.
+#[test]
+fn a_response_with_two_equal_lengths_is_forwarded() {
+    const RESPONSE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\
+        Transfer-Encoding: Chunked\r\n\r\n5\r\n01234\r\n0\r\n\r\n";
+    let respond = || Reply::Respond(RESPONSE.into());
+    let expected = Outcome {
+        status: 200,
+        attempts: 1,
+    };
+    assert_eq!(outcome_of("pay", Position::First, respond), expected);
 }
