Test that a promise or a client error that bytes follow is not believed

Both were forwarded on: the promise as 503 "refused" for a request that may have run, the client error as 400. No change of the program.

--- a/crates/proxy/tests/response_lengths.rs
+++ b/crates/proxy/tests/response_lengths.rs
@@ -58,7 +58,7 @@
 }
 
 /// Responses that more bytes follow in the same write.
-const SHORT_RESPONSES: [(&str, &str); 8] = [
+const SHORT_RESPONSES: [(&str, &str); 10] = [
     (
         "too short a length",
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n0123456789",
@@ -93,6 +93,14 @@
         "too short a length in HTTP/1.0",
         "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\n0123456789",
     ),
+    (
+        "a promise that the request was not executed",
+        "HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n0123456789",
+    ),
+    (
+        "a client error",
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 5\r\n\r\n0123456789",
+    ),
 ];
 
 /// A response whose length is half of that of its body, which takes several reads.
