--- a/crates/fleet-simulator/src/soak/plan.rs
+++ b/crates/fleet-simulator/src/soak/plan.rs
@@ -68,6 +68,8 @@
     StrayRejection,
     /// Further bytes follow each response at once.
     TrailingBytes,
+    /// The response announces fewer bytes than it has, and the connection stays open.
+    ShortLength,
     /// The response announces more bytes than it has, and the connection ends.
     Truncated,
     /// The response has no length, and the connection ends in an orderly way.
@@ -266,11 +268,12 @@
 }
 
 fn draw_response_fault(random: &mut Pcg64Mcg, backends: usize) -> Option<PlannedResponseFault> {
-    const FAULTS: [ResponseFault; 7] = [
+    const FAULTS: [ResponseFault; 8] = [
         ResponseFault::Repeated,
         ResponseFault::DeliveredTwice,
         ResponseFault::StrayRejection,
         ResponseFault::TrailingBytes,
+        ResponseFault::ShortLength,
         ResponseFault::Truncated,
         ResponseFault::WithoutLength,
         ResponseFault::WithoutLengthReset,
--- a/crates/fleet-simulator/src/soak/responses.rs
+++ b/crates/fleet-simulator/src/soak/responses.rs
@@ -66,10 +66,12 @@
 
 /// The response to the request with this correlation id.
 pub fn response(id: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}",
-        id.len()
-    )
+    response_announcing(id.len(), id)
+}
+
+/// A response with this body that announces so many bytes.
+fn response_announcing(length: usize, body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
 /// Writes the response to a request as the fault says. `service` is how long the backend has worked
@@ -96,9 +98,12 @@
             output.write(&whole).await
         }
         ResponseFault::TrailingBytes => output.write(&(whole + "noise")).await,
+        ResponseFault::ShortLength => {
+            let text = response_announcing(id.len() / 2, id);
+            output.write(&text).await
+        }
         ResponseFault::Truncated => {
-            let length = id.len() + 1;
-            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{id}");
+            let text = response_announcing(id.len() + 1, id);
             output.write(&text).await;
             false
         }
