Make a further call to an agent beside one that is silent

Cause: what the agent has at its return counts at once, and the proxy waited for the one call that it had made while the agent was down, until its limit of 3.5 s (4.5 s for a watch, 0.75 s for a connect).

Change, watch/agent.rs: a watch on the agent waits 150 ms; 50 ms after that without an answer, and then every 150 ms, a further call is made beside those that are silent, on a connection of its own. So a call starts at most 200 ms after the agent is back, whatever hangs: an older call, its connection, a connect, a half-read answer. Four calls are open at most; the oldest is kept for 3.5 s, so that an agent slower than 450 ms is served too. Of several answers that of the newest call counts and the others are closed, so an older answer never replaces a newer list. Silence keeps the version (the further call asks for changes); any other failure asks for the complete list, as before. Two calls are 20 ms apart at least, also if the agent holds none open.

The stand-in FakeDiscovery left calls without an answer for ever, which this watch takes for an outage. It now answers a watch at the end of its wait; a test that pauses the proxy holds calls open explicitly. It waits for the proxy's close of the answered call instead of for the next call. The test of the reload now also checks that the old service gets no further call. The unit test of the wait of a watch asserted 4 s for agents; it keeps its bounds for the central service, and a new one asserts that calls to a silent agent are under 250 ms apart.

--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -8,6 +8,8 @@
 //! has received it. The time limits in this module ensure that the proxy has received the change by
 //! then, or knows that its list is not confirmed.
 
+mod agent;
+
 use super::client::{self, Answer, DiscoveryError};
 use super::endpoint_list::{EndpointList, ResolvedEndpoint};
 use super::watch_log;
@@ -23,9 +25,6 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::Instant;
 
-/// The wait of a call to the local agent. The wait is short so that the proxy soon notices an
-/// unresponsive agent. Frequent calls cost the agent nothing.
-const PUSH_WAIT: Duration = Duration::from_secs(4);
 /// The wait of a call that the balancer requests. Discovery answers such a call at once, also if
 /// the list has not changed: only an answer shows that the list is current. Without a wait in the
 /// call, discovery would send the complete list.
@@ -36,12 +35,6 @@
 /// The time limit of a call that is answered at once. The service answers or fails such a call
 /// within this time, including the time that the call spends in the service's queue.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(3500);
-/// The first pause after a failed call to the agent. It is short because the proxy counts as
-/// notified of the agent's changes soon after the agent can be reached again.
-const MIN_BACKOFF: Duration = Duration::from_millis(50);
-/// The longest pause after failed calls to the agent.
-const MAX_BACKOFF: Duration = Duration::from_millis(200);
-
 /// Why a call of the watch returned no list.
 #[derive(Debug, thiserror::Error)]
 pub enum WatchError {
@@ -72,22 +65,6 @@
     Micros(at.elapsed().as_micros() as u64)
 }
 
-/// The exponential backoff after failed calls to the agent.
-struct Backoff {
-    next: Duration,
-}
-
-impl Backoff {
-    fn new() -> Backoff {
-        Backoff { next: MIN_BACKOFF }
-    }
-
-    async fn pause(&mut self) {
-        tokio::time::sleep(self.next).await;
-        self.next = (self.next * 2).min(MAX_BACKOFF);
-    }
-}
-
 /// What a call is for.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum CallKind {
@@ -153,10 +130,23 @@
         }
     }
 
-    /// Watches the list at one address. After a response the next call is made immediately, as a
-    /// watch, so that no change is missed between two calls.
-    async fn watch(&mut self, address: SocketAddr, mut poll_immediately: bool) -> Infallible {
-        let mut backoff = Backoff::new();
+    /// Watches the list at one address.
+    async fn watch(&mut self, address: SocketAddr, poll_immediately: bool) -> Infallible {
+        if self.is_push() {
+            self.watch_agent(address).await
+        } else {
+            self.watch_service(address, poll_immediately).await
+        }
+    }
+
+    /// Watches the list of the central service. After a response the next call is made immediately,
+    /// as a watch, so that no change is missed between two calls. After a failure the balancer
+    /// decides when to call again, and until when the current list may be used.
+    async fn watch_service(
+        &mut self,
+        address: SocketAddr,
+        mut poll_immediately: bool,
+    ) -> Infallible {
         let mut kind = CallKind::Poll;
         loop {
             if !poll_immediately {
@@ -169,19 +159,17 @@
             if kind == CallKind::Watch {
                 self.adjust_watch_wait(&result, wait, started.elapsed());
             }
+            poll_immediately = result.is_ok();
             match result {
                 Ok(answer) => {
                     watch_log::write_list(&answer.list, started.elapsed(), answer.service_time);
                     self.report_answer(answer, kind);
                     kind = CallKind::Watch;
-                    poll_immediately = true;
-                    backoff = Backoff::new();
                 }
                 Err(error) => {
                     watch_log::write_failure(&error, address, self.version, started.elapsed());
                     kind = CallKind::Poll;
-                    poll_immediately = self.is_push();
-                    self.handle_failure(&error, &mut backoff).await;
+                    self.send(error.endpoint_update(), Vec::new());
                 }
             }
         }
@@ -201,24 +189,6 @@
         }
     }
 
-    /// Prepares the next call after a failed call: pauses if an agent is called, otherwise reports
-    /// the failure to the balancer, which decides until when the current list may be used.
-    async fn handle_failure(&mut self, error: &WatchError, backoff: &mut Backoff) {
-        if self.is_push() {
-            // The agent may have restarted and count versions from the start again, so the next
-            // call requests the complete list. This costs the agent nothing.
-            self.version = None;
-            let update = error.endpoint_update();
-            if matches!(update, EndpointUpdate::AnswerSpoilt { .. }) {
-                self.has_reported_spoilt_answer = true;
-                self.send(update, Vec::new());
-            }
-            backoff.pause().await;
-        } else {
-            self.send(error.endpoint_update(), Vec::new());
-        }
-    }
-
     /// Whether an agent pushes changes. The balancer does not request polls then.
     fn is_push(&self) -> bool {
         self.mode == DiscoveryMode::Push
@@ -272,9 +242,6 @@
 
     /// Returns the time for which the service may hold the next call open.
     fn next_wait(&mut self, kind: CallKind) -> Duration {
-        if self.is_push() {
-            return PUSH_WAIT;
-        }
         if kind == CallKind::Poll {
             return POLL_WAIT;
         }
--- a/crates/proxy/tests/support/http_message.rs
+++ b/crates/proxy/tests/support/http_message.rs
@@ -72,3 +72,12 @@
     let (name, value) = line.split_once(':')?;
     Some((name.to_lowercase(), value.trim().to_string()))
 }
+
+/// The value of a parameter in the query of a request line.
+pub fn parameter(request_line: &str, name: &str) -> Option<u64> {
+    let target = request_line.split(' ').nth(1)?;
+    let (_, query) = target.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    value.parse().ok()
+}
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -12,6 +12,7 @@
 mod fake_discovery;
 mod faulty_discovery;
 mod http_message;
+mod list_scenario;
 mod proxy_process;
 mod recording_backend;
 mod response_gate;
@@ -28,6 +29,10 @@
 pub use fake_discovery::FakeDiscovery;
 pub use faulty_discovery::{DiscoveryBehavior, FaultyDiscovery};
 pub use http_message::{read_http_message, HttpMessage};
+pub use list_scenario::{
+    count_between, sleep_until, start_backend, with_status, Arrivals, Scenario, CHANGED, GRACE,
+    UNCHANGED,
+};
 pub use proxy_process::{start_proxy_with, ProxyProcess};
 pub use recording_backend::{
     response_body, start_recording_backend, BackendBehavior, Execution, ExecutionLog,
