Use no stored list before the agent has answered the new process

Cause: where lists are pushed, the stored list was used from the start on without an end (ListValidity::on_process_started). Where lists are asked for, the program kept this rule already.

Until the first answer requests wait for it within their deadline, as in the other mode. The watch reports the first answer of an agent to the balancer also if it contains no change.

The test of readiness gets a really silent agent again.

--- a/crates/balancer/src/discovery_watch/list_validity.rs
+++ b/crates/balancer/src/discovery_watch/list_validity.rs
@@ -25,10 +25,11 @@
 }
 
 impl ListValidity {
-    /// Records that the process has started with a stored list.
+    /// Records that the process has started with a stored list. Unless the operators' terms make
+    /// polling enough, it is not used: what discovery or the agent has counts as notified from the
+    /// start, and nothing shows that the stored list is that.
     pub fn on_process_started(&mut self, now: Time, config: &Config) {
-        let is_pushed = config.discovery == DiscoveryMode::Push;
-        if is_pushed || config.list_terms == ListTerms::WhilePolling {
+        if config.list_terms == ListTerms::WhilePolling {
             self.until = self.until.max(now + poll_deadline(config));
         }
     }
--- a/crates/proxy/src/discovery/watch.rs
+++ b/crates/proxy/src/discovery/watch.rs
@@ -88,8 +88,9 @@
     pub events: mpsc::UnboundedSender<DriverEvent>,
     /// The size limit of a list, in bytes.
     pub max_list_bytes: usize,
-    /// Whether the last answer of an agent was spoilt, which the balancer has been told.
-    pub has_reported_spoilt_answer: bool,
+    /// Whether the balancer waits for a complete answer: this process has had none from the agent
+    /// or service, or the last one of an agent was spoilt.
+    pub needs_confirmation: bool,
     /// The random number generator for the waits. Its seed must differ between proxies.
     pub random: Pcg32,
     /// The wait of the next watch on the central service.
@@ -123,6 +124,7 @@
                     // The new service is called immediately, even during a pause after a failure of
                     // the old one.
                     self.version = None;
+                    self.needs_confirmation = true;
                     poll_immediately = true;
                     self.send(EndpointUpdate::SourceChanged, Vec::new());
                 }
@@ -216,10 +218,9 @@
         } else {
             EndpointUpdate::Delta
         };
-        // The balancer needs even an empty delta as the answer to a poll that it requested, or as
-        // the first complete answer after a spoilt one.
-        let answers_poll = !self.is_push() || self.has_reported_spoilt_answer;
-        self.has_reported_spoilt_answer = false;
+        // The balancer needs even an empty delta as the answer to a poll that it requested.
+        let answers_poll = !self.is_push() || self.needs_confirmation;
+        self.needs_confirmation = false;
         if list.is_snapshot || !list.endpoints.is_empty() || answers_poll {
             self.send(update, list.endpoints);
         }
--- a/crates/proxy/src/discovery/watch/agent.rs
+++ b/crates/proxy/src/discovery/watch/agent.rs
@@ -149,7 +149,7 @@
         self.version = None;
         calls.0.retain(|call| call.is_for_complete_list);
         if matches!(update, EndpointUpdate::AnswerSpoilt { .. }) {
-            self.has_reported_spoilt_answer = true;
+            self.needs_confirmation = true;
             self.send(update, Vec::new());
         }
     }
--- a/crates/proxy/src/discovery/watch/tests.rs
+++ b/crates/proxy/src/discovery/watch/tests.rs
@@ -101,7 +101,7 @@
         version,
         poll_requested,
         events,
-        has_reported_spoilt_answer: false,
+        needs_confirmation: true,
         max_list_bytes: 4 << 20,
         random: rand_core::SeedableRng::seed_from_u64(3),
         watch_wait: WatchWait::new(),
--- a/crates/proxy/src/startup.rs
+++ b/crates/proxy/src/startup.rs
@@ -190,7 +190,7 @@
         version: cached_endpoints.map(|list| list.version),
         poll_requested: shared.poll_requested.clone(),
         events: shared.events.clone(),
-        has_reported_spoilt_answer: false,
+        needs_confirmation: true,
         max_list_bytes: config.max_list_bytes,
         random: Pcg32::seed_from_u64(config.seed),
         watch_wait: WatchWait::new(),
--- a/crates/proxy/tests/agent_faults.rs
+++ b/crates/proxy/tests/agent_faults.rs
@@ -65,6 +65,28 @@
     }
 }
 
+/// Guards against a stored list that is used although the agent has another one (review case 3): what
+/// the agent has counts from the first moment of a process, and it may be silent then.
+#[test]
+fn a_stored_list_is_not_used_before_the_agent_has_answered_the_new_process() {
+    const SILENCE: Duration = Duration::from_secs(4);
+    let scenario = Scenario::start_with_prepared_agent(|agent, entries| {
+        let drained: Vec<_> = entries[CHANGED]
+            .iter()
+            .map(|entry| with_status(entry, "draining"))
+            .collect();
+        agent.change(DiscoveryBehavior::FallsSilent, &drained);
+    });
+    let started_at = Instant::now();
+    sleep_until(started_at + SILENCE);
+    let back_at = Instant::now();
+    scenario.discovery.change(DiscoveryBehavior::Answers, &[]);
+    sleep_until(back_at + OBSERVED);
+    let until = Instant::now();
+    assert_eq!(scenario.requests_to(CHANGED, started_at, until), 0);
+    assert!(scenario.requests_to(UNCHANGED, back_at, until) > 0);
+}
+
 /// Guards against a watch that falls silent while the agent lives: the proxy learnt of the agent's
 /// changes only when the watch timed out.
 #[test]
--- a/crates/proxy/tests/endpoint_updates.rs
+++ b/crates/proxy/tests/endpoint_updates.rs
@@ -86,15 +86,19 @@
     });
 }
 
-/// If the discovery service accepts polls and never responds, the proxy keeps serving with the
-/// endpoint list that it has, and polls again.
+/// If an agent falls silent, the proxy keeps serving with the endpoint list that the agent has sent,
+/// and polls again.
 #[test]
-fn the_proxy_serves_and_polls_again_if_discovery_never_responds() {
+fn the_proxy_serves_and_polls_again_if_its_agent_falls_silent() {
     let backend = FakeBackend::responding_ok("x");
-    let (proxy, discovery) = start_proxy_with(&[("a", &backend)]);
-    wait_until("the proxy polls again after a poll has timed out", || {
-        discovery.polls() >= 2
-    });
+    let discovery = FaultyDiscovery::start();
+    let endpoints = [ready("a", backend.address)];
+    let proxy = ProxyProcess::start(&proxy_config(discovery.address, &endpoints));
+    wait_until("the agent has answered", || discovery.answers_written() > 1);
+    discovery.change(DiscoveryBehavior::FallsSilent, &[]);
+    let calls = discovery.calls();
+    // The first of these calls may be the watch that was open.
+    wait_until("the proxy polls again", || discovery.calls() >= calls + 3);
     assert_reads_succeed(&proxy, 1);
     assert_eq!(proxy.readiness_status(), 200);
 }
--- a/crates/proxy/tests/readiness.rs
+++ b/crates/proxy/tests/readiness.rs
@@ -79,7 +79,8 @@
 #[test]
 fn the_proxy_is_ready_soon_with_a_cached_endpoint_list_alone() {
     let backend = FakeBackend::responding_ok("x");
-    let unresponsive_discovery = FakeDiscovery::start();
+    let unresponsive_discovery = FaultyDiscovery::start();
+    unresponsive_discovery.change(DiscoveryBehavior::FallsSilent, &[]);
     for mode in DISCOVERY_MODES {
         for discovery in [free_address(), unresponsive_discovery.address] {
             let known = KnownList::Given(snapshot(4, &[ready("a", backend.address)]));
--- a/crates/proxy/tests/support/list_scenario.rs
+++ b/crates/proxy/tests/support/list_scenario.rs
@@ -4,7 +4,7 @@
 use super::fake_backend::{ok_response, FakeBackend};
 use super::faulty_discovery::{DiscoveryBehavior, FaultyDiscovery};
 use super::proxy_process::ProxyProcess;
-use super::settings::{endpoint, proxy_config, ready};
+use super::settings::{endpoint, free_address, proxy_config, ready};
 use super::wait::wait_until;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -74,6 +74,12 @@
         scenario
     }
 
+    /// A proxy with an agent that pushes the list. `prepare` gets the agent and the entries of the
+    /// proxy's stored list before the proxy starts.
+    pub fn start_with_prepared_agent(prepare: impl FnOnce(&FaultyDiscovery, &[Value])) -> Scenario {
+        Scenario::start_proxy_in_mode("automatic", PROXY_COUNT, prepare)
+    }
+
     /// A proxy with an agent that has answered it, which pushes the list.
     pub fn start_with_agent() -> Scenario {
         let scenario = Scenario::start_proxy_in_mode("automatic", PROXY_COUNT, |_, _| {});
@@ -97,9 +103,10 @@
         proxy_count: u32,
         prepare: impl FnOnce(&FaultyDiscovery, &[Value]),
     ) -> Scenario {
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        // A port of the ephemeral range could be taken by a connection before a backend that has
+        // stopped starts again.
         let backends: Vec<_> = (0..BACKEND_COUNT)
-            .map(|_| start_backend(any_port))
+            .map(|_| start_backend(free_address()))
             .collect();
         let discovery = FaultyDiscovery::start();
         let entries: Vec<Value> = (0..BACKEND_COUNT)
