Soak: agents that fall silent, with a drain that begins before their return

The soak played pushed lists with an agent that resets connections, never with one that leaves calls without an answer, and hardly ever with a change just before its return. The new fault leaves all calls of its span without an answer for ever, for agents and for the central service; where lists are pushed, a backend begins to drain in the last second of each outage. The check is unchanged: a change in an outage counts at the agent's return, from the first moment of a process, 4 s after a planned move of discovery.

--- a/crates/fleet-simulator/src/soak/discovery.rs
+++ b/crates/fleet-simulator/src/soak/discovery.rs
@@ -184,6 +184,17 @@
         }
     }
 
+    /// Waits until discovery falls silent: returns at the start of that fault, or immediately during
+    /// it. Never returns otherwise.
+    async fn wait_until_silent(&self) {
+        match self.fault {
+            Some((DiscoveryFault::Silent, span)) if self.clock.now() < span.to => {
+                self.clock.sleep_until(span.from).await;
+            }
+            _ => std::future::pending().await,
+        }
+    }
+
     async fn serve_calls(&self, stream: &mut TcpStream, proxy: usize) {
         let mut reader = MessageReader::default();
         let connection = self.connections.fetch_add(1, Relaxed);
@@ -225,8 +236,13 @@
     async fn answer(&self, stream: &mut TcpStream, call: &Message, proxy: usize) -> bool {
         let after: Option<usize> = parameter(call.target(), "after");
         let is_open = tokio::select! {
-            () = self.wait_for_change(call, after) => true,
+            biased;
             () = wait_until_closed(stream) => false,
+            () = self.wait_until_silent() => {
+                wait_until_closed(stream).await;
+                false
+            }
+            () = self.wait_for_change(call, after) => true,
         };
         if !is_open {
             return false;
--- a/crates/fleet-simulator/src/soak/plan.rs
+++ b/crates/fleet-simulator/src/soak/plan.rs
@@ -32,6 +32,9 @@
     Down,
     /// It accepts calls but does not answer them until the fault ends.
     Stalled,
+    /// It never answers the calls that it has at the start of the fault or gets during it, and
+    /// leaves their connections open.
+    Silent,
     /// It answers calls late, and answers those that waited for too long with status 503.
     Overloaded,
     /// It resets the connection on each call.
@@ -194,6 +197,10 @@
         let exhaustion_span =
             discovery_fault.map_or_else(|| draw_span(random, 2.0..4.0), |(_, s)| s);
         let backends = random.random_range(5..9);
+        let mut backend_faults = draw_backend_faults(random, backends);
+        if let (ListSource::Push, Some((_, outage))) = (list_source, discovery_fault) {
+            begin_drain_in_outage(random, &mut backend_faults, outage);
+        }
         Plan {
             seed,
             list_source,
@@ -207,7 +214,7 @@
             leaving_fraction: random.random_range(0.0..0.25),
             descriptor_exhaustion: exhausts_descriptors.then_some(exhaustion_span),
             discovery_fault,
-            backend_faults: draw_backend_faults(random, backends),
+            backend_faults,
             signals: draw_signals(random),
             response_fault: draw_response_fault(random, backends),
         }
@@ -224,12 +231,13 @@
     random: &mut Pcg64Mcg,
     list_source: ListSource,
 ) -> Option<(DiscoveryFault, Span)> {
-    // An agent runs on the same host as the proxy, so it is either up or down.
+    // An agent runs on the same host as the proxy, and serves it alone.
     let faults: &[DiscoveryFault] = match list_source {
-        ListSource::Push => &[DiscoveryFault::Down],
+        ListSource::Push => &[DiscoveryFault::Down, DiscoveryFault::Silent],
         ListSource::Poll => &[
             DiscoveryFault::Down,
             DiscoveryFault::Stalled,
+            DiscoveryFault::Silent,
             DiscoveryFault::Overloaded,
             DiscoveryFault::Resetting,
         ],
@@ -267,6 +275,27 @@
     faults
 }
 
+/// Makes one backend begin to drain in the last second of an outage of the agent: what the agent has
+/// at its return counts as notified at once.
+fn begin_drain_in_outage(
+    random: &mut Pcg64Mcg,
+    faults: &mut Vec<PlannedBackendFault>,
+    outage: Span,
+) {
+    let from = outage.to - random.random_range(0.0..1.0);
+    let drain = PlannedBackendFault {
+        backend: faults.first().map_or(1, |fault| fault.backend),
+        fault: BackendFault::Drains,
+        span: Span {
+            from,
+            to: (from + random.random_range(2.0..5.0)).min(RUN_SECS),
+        },
+        accepts_secs: random.random_range(0.0..2.0),
+    };
+    faults.retain(|fault| fault.backend != drain.backend);
+    faults.insert(0, drain);
+}
+
 fn draw_response_fault(random: &mut Pcg64Mcg, backends: usize) -> Option<PlannedResponseFault> {
     const FAULTS: [ResponseFault; 8] = [
         ResponseFault::Repeated,
