Let the stand-in for agents report a watch as held only when it is one

Trace, with the log of the proxy and the counts of the stand-in: one call received, which was the first one for the complete list and was answered at once; the proxy was paused 30 ms later, after its next connect and before it wrote the call. So no call was open that could get the list.

--- a/crates/proxy/tests/client_disconnects.rs
+++ b/crates/proxy/tests/client_disconnects.rs
@@ -134,7 +134,7 @@
         let config = config_for(case, &discovery, draining("a", backend.address));
         let proxy = ProxyProcess::spawn(&config);
         proxy.wait_until_unavailable();
-        discovery.hold_calls();
+        discovery.hold_watches();
         let mut clients = connect_clients(&proxy, 199, case.pipelined);
         let last_request = request("pay", 8_000);
         let last_text = last_request.clone() + case.pipelined;
--- a/crates/proxy/tests/support/fake_discovery.rs
+++ b/crates/proxy/tests/support/fake_discovery.rs
@@ -20,7 +20,9 @@
     /// The body of the next response; `None` if the latest one has been sent.
     body: Option<String>,
     /// Whether watches are held open after the end of their wait.
-    holds_calls: bool,
+    holds_watches: bool,
+    /// How many watches were received while they are held open.
+    held_watches: usize,
 }
 
 /// What the connections of the agent have received and sent so far.
@@ -114,8 +116,12 @@
         let (published, changed) = &*self.published;
         let mut published = published.lock().unwrap();
         stream.set_nonblocking(true).unwrap();
+        let mut is_held = false;
         while !matches!(stream.peek(&mut [0]), Ok(0)) {
-            let is_held = published.holds_calls && wait.is_some();
+            if published.holds_watches && wait.is_some() && !is_held {
+                is_held = true;
+                published.held_watches += 1;
+            }
             let body = published.body.take();
             if body.is_some() || (!is_held && Instant::now() >= until) {
                 stream.set_nonblocking(false).unwrap();
@@ -142,11 +148,12 @@
         self.counts.open_connections.load(Ordering::SeqCst)
     }
 
-    /// Leaves watches open from now on until something is published, and waits for the next one.
-    pub fn hold_calls(&self) {
-        self.published.0.lock().unwrap().holds_calls = true;
-        let before = self.polls();
-        wait_until("a call is held open", || self.polls() > before);
+    /// Leaves watches open from now on until something is published, and waits until one is open.
+    pub fn hold_watches(&self) {
+        self.published.0.lock().unwrap().holds_watches = true;
+        wait_until("a watch is held open", || {
+            self.published.0.lock().unwrap().held_watches > 0
+        });
     }
 
     /// Publishes the complete list as the response to the current call, or to the next one if there
