Close the connection after a response with contradictory lengths

What callers could see: a response to another request. A response whose Content-Length contradicts its chunks was no longer forwarded, but its connection went back to the pool. It is open where such a response ends, so bytes that come later could be taken for the response to the next request.

Cause: the check stood where a response is classified (AttemptResult::from_response), after the point that decides on the connection. It belongs to the doubts: ResponseArrival tells whether the body is as announced, and ConnectionReuse::judge answers ContradictoryLength. As for the other doubts the request may have run, the connection is closed, and the log names the doubt.

Evidence: response_lengths.rs, a_connection_is_not_reused_after_a_response_with_contradictory_lengths: before, the next request went out on the same connection (1 opened, 2 expected); it passes now. The tests of contradictory lengths, of two equal lengths and of responses without a length pass unchanged.

--- a/crates/balancer/src/connection_reuse.rs
+++ b/crates/balancer/src/connection_reuse.rs
@@ -85,6 +85,8 @@
     pub preceded_request: bool,
     /// Whether more bytes arrived right behind it.
     pub followed_by_bytes: bool,
+    /// Whether its body is what its headers announce.
+    pub is_as_announced: bool,
     /// The response itself; `None` if it is no success.
     pub success: Option<SuccessfulResponse>,
     /// The previous response on the connection, if there was one and it was a success.
@@ -126,6 +128,8 @@
     /// More bytes followed it. The length that it announces may be too short, or it is a second
     /// response to an earlier request on the connection and the bytes are the real response.
     FollowedByBytes,
+    /// Its headers contradict each other, or its body, so that it is open where it ends.
+    ContradictoryLength,
     /// It equals the previous response on the connection, though the responses of one of the two
     /// classes usually differ.
     EqualsPrevious,
@@ -196,6 +200,9 @@
         if arrival.followed_by_bytes {
             return Some(ResponseDoubt::FollowedByBytes);
         }
+        if !arrival.is_as_announced {
+            return Some(ResponseDoubt::ContradictoryLength);
+        }
         if let Some(rest) = arrival.rest {
             if self.is_copy(arrival) {
                 self.record_lag(now, arrival.since_previous);
--- a/crates/balancer/src/connection_reuse/tests.rs
+++ b/crates/balancer/src/connection_reuse/tests.rs
@@ -37,6 +37,7 @@
         rest: Some(Micros(millis * 1_000)),
         preceded_request: false,
         followed_by_bytes: false,
+        is_as_announced: true,
         success: None,
         previous_success: None,
         since_previous: Micros(millis * 1_000),
@@ -144,6 +145,17 @@
     }
 }
 
+/// Guards against a connection that is used again although it is open where its last response ends.
+#[test]
+fn a_response_is_doubted_if_it_is_not_as_announced() {
+    let arrival = ResponseArrival {
+        is_as_announced: false,
+        ..response_after_rest(100)
+    };
+    let doubt = ConnectionReuse::default().judge(START, arrival);
+    assert_eq!(doubt, Some(ResponseDoubt::ContradictoryLength));
+}
+
 #[test]
 fn a_response_that_precedes_its_request_is_doubted() {
     let arrival = ResponseArrival {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -199,7 +199,8 @@
         is_reusable: bool,
     ) -> AttemptResult {
         let status = response.status();
-        if let Some(doubt) = self.pool.monitor.judge(connection.response_arrival()) {
+        let arrival = connection.response_arrival(&response);
+        if let Some(doubt) = self.pool.monitor.judge(arrival) {
             let outcome = outcome_of_doubted_response(doubt, &connection.progress);
             connection.close(CloseReason::ResponseDoubted);
             self.log_withheld_response(status, outcome, Some(doubt));
@@ -284,7 +285,9 @@
     match doubt {
         // Without the last byte of the request, the backend cannot have executed it.
         ResponseDoubt::PrecededRequest if !progress.write_completed.get() => Outcome::ConnectFailed,
-        ResponseDoubt::PrecededRequest | ResponseDoubt::FollowedByBytes => Outcome::Reset,
+        ResponseDoubt::PrecededRequest
+        | ResponseDoubt::FollowedByBytes
+        | ResponseDoubt::ContradictoryLength => Outcome::Reset,
         // The response may well be the right one, so it does not count against the backend.
         ResponseDoubt::RestTooShort | ResponseDoubt::EqualsPrevious => Outcome::Cancelled,
     }
--- a/crates/proxy/src/backend_connection.rs
+++ b/crates/proxy/src/backend_connection.rs
@@ -1,5 +1,6 @@
 //! One HTTP/1.1 connection to a backend.
 
+use crate::body_length;
 use crate::clock::Clock;
 use crate::connection_log::{CloseReason, ConnectionRecord};
 use crate::connection_monitor::ConnectionMonitor;
@@ -179,12 +180,16 @@
     }
 
     /// How the response to the last request arrived.
-    pub fn response_arrival(&self) -> ResponseArrival {
+    pub fn response_arrival(&self, response: &Response<Bytes>) -> ResponseArrival {
         let since_previous = self.previous.map(|previous| self.clock.now() - previous.at);
         ResponseArrival {
             rest: self.previous.map(|previous| previous.rest),
             preceded_request: self.progress.response_preceded_request.get(),
             followed_by_bytes: self.progress.has_unsolicited(),
+            is_as_announced: body_length::is_as_announced(
+                response.headers(),
+                response.body().len(),
+            ),
             success: self.record.last_response.and_then(|last| last.success),
             previous_success: self.previous.and_then(|previous| previous.success),
             since_previous: since_previous.unwrap_or_default(),
--- a/crates/proxy/src/backend_response.rs
+++ b/crates/proxy/src/backend_response.rs
@@ -1,6 +1,5 @@
 //! The result of an attempt, and the classification of a backend's response.
 
-use crate::body_length;
 use crate::forwarded_request::{connection_options, remove_hop_by_hop_headers};
 use crate::unframed_body;
 use brookstack_balancer::Outcome;
@@ -43,9 +42,6 @@
 
     /// Classifies a complete response.
     pub fn from_response(response: Response<Bytes>) -> AttemptResult {
-        if !body_length::is_as_announced(response.headers(), response.body().len()) {
-            return Outcome::Reset.into();
-        }
         match response.status() {
             StatusCode::OK if has_broken_body(&response) => Outcome::Reset.into(),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
--- a/crates/proxy/tests/response_lengths.rs
+++ b/crates/proxy/tests/response_lengths.rs
@@ -191,6 +191,27 @@
     assert_eq!(wrong_outcomes(outcomes), []);
 }
 
+/// Guards against a connection that is used again although it is in doubt where its last response
+/// ends: what comes later would be taken for the response to the next request.
+#[test]
+fn a_connection_is_not_reused_after_a_response_with_contradictory_lengths() {
+    let (_, contradictory) = CONTRADICTORY_RESPONSES[0];
+    let backend = FakeBackend::start(move |request| {
+        if request.start_line_contains("/doubtful") {
+            Reply::Respond(contradictory.to_string())
+        } else {
+            ok_response("usual")
+        }
+    });
+    let (proxy, _discovery) = start_proxy_with(&[("a", &backend)]);
+    let doubtful = request("pay", TIME_LEFT_MS).replace("/a?", "/doubtful?");
+    assert_eq!(send_request(&proxy, &doubtful).status(), 502);
+    std::thread::sleep(CONNECTION_REST);
+    let usual = send_request(&proxy, &request("pay", TIME_LEFT_MS));
+    assert_eq!(usual.status(), 200);
+    assert_eq!(backend.connections_opened(), 2);
+}
+
 /// Guards against a check of lengths that is too strict: both say the same here.
 #[test]
 fn a_response_with_two_equal_lengths_is_forwarded() {
