Tidy: one call that ends a connection, input on sockets in its own module

No decision changes. HttpConnection::take_ended ends the connection itself, so that its two callers no longer have to. The look at a socket's waiting input, which backends and discovery share, leaves http_connection.rs. The stand-ins for discovery build the bodies of lists in one function.

--- a/crates/balancer/src/connection_reuse/tests.rs
+++ b/crates/balancer/src/connection_reuse/tests.rs
@@ -79,8 +79,8 @@
     assert!(reuse.may_reuse(after_start(600), Some(success_at(START))));
 }
 
-/// Guards against connections that are closed after each response because of noise behind a response,
-/// which cannot be taken for a response.
+/// Guards against connections that are closed after each response because of noise behind a
+/// response, which cannot be taken for a response.
 #[test]
 fn bytes_that_are_no_response_belong_to_the_last_response_of_the_connection() {
     let mut reuse = ConnectionReuse::default();
--- a/crates/fleet-simulator/src/soak/discovery.rs
+++ b/crates/fleet-simulator/src/soak/discovery.rs
@@ -184,8 +184,8 @@
         }
     }
 
-    /// Waits until discovery falls silent: returns at the start of that fault, or immediately during
-    /// it. Never returns otherwise.
+    /// Waits until discovery falls silent: returns at the start of that fault, or immediately
+    /// during it. Never returns otherwise.
     async fn wait_until_silent(&self) {
         match self.fault {
             Some((DiscoveryFault::Silent, span)) if self.clock.now() < span.to => {
--- a/crates/fleet-simulator/src/soak/plan.rs
+++ b/crates/fleet-simulator/src/soak/plan.rs
@@ -275,8 +275,8 @@
     faults
 }
 
-/// Makes one backend begin to drain in the last second of an outage of the agent: what the agent has
-/// at its return counts as notified at once.
+/// Makes one backend begin to drain in the last second of an outage of the agent: what the agent
+/// has at its return counts as notified at once.
 fn begin_drain_in_outage(
     random: &mut Pcg64Mcg,
     faults: &mut Vec<PlannedBackendFault>,
--- a/crates/proxy/src/backend_connection.rs
+++ b/crates/proxy/src/backend_connection.rs
@@ -150,7 +150,6 @@
         let ended = poll_fn(|cx| Poll::Ready(self.poll_ended(cx).is_ready())).await;
         let is_reusable = !ended && self.sender.is_ready();
         if !is_reusable {
-            self.http.end();
             self.record_remaining_input();
         }
         is_reusable
@@ -164,7 +163,7 @@
         Poll::Ready(())
     }
 
-    /// Records the bytes that an ended connection has left behind its last response.
+    /// Ends the connection and records the bytes that it has left behind its last response.
     fn record_remaining_input(&mut self) {
         let Some(ended) = self.http.take_ended() else {
             return;
--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -5,7 +5,8 @@
 //! For the same reason an answer that more bytes follow is of no use.
 
 use super::endpoint_list::{self, EndpointList, EndpointListError};
-use crate::http_connection::{read_waiting_input, HttpConnection};
+use crate::http_connection::HttpConnection;
+use crate::waiting_input;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Body, Incoming};
@@ -158,9 +159,8 @@
 
     /// Whether more bytes have arrived after the response. Ends the connection.
     fn has_more_input(&mut self) -> bool {
-        self.http.end();
         self.http.take_ended().is_some_and(|ended| {
-            let waiting = read_waiting_input(&ended.stream, &mut [0]);
+            let waiting = waiting_input::read(&ended.stream, &mut [0]);
             !ended.unparsed.is_empty() || matches!(waiting, Ok(Some(1..)))
         })
     }
--- a/crates/proxy/src/http_connection.rs
+++ b/crates/proxy/src/http_connection.rs
@@ -4,13 +4,10 @@
 use hyper::body::Body;
 use hyper::client::conn::http1::Connection;
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::future::{poll_fn, Future};
-use std::io::{self, ErrorKind, Read};
 use std::pin::{pin, Pin};
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
 
 /// What is left of a connection after its end.
 pub struct EndedConnection<S> {
@@ -73,8 +70,7 @@
         Poll::Ready(())
     }
 
-    /// Ends the connection without closing its stream.
-    pub fn end(&mut self) {
+    fn end(&mut self) {
         if let Some(http1) = self.http1.take() {
             let parts = http1.into_parts();
             self.ended = Some(EndedConnection {
@@ -84,18 +80,10 @@
         }
     }
 
-    /// Takes what the connection has left, once after its end.
+    /// Ends the connection, if it has not ended, without closing its stream, and takes what it has
+    /// left; `None` if that was taken before.
     pub fn take_ended(&mut self) -> Option<EndedConnection<S>> {
+        self.end();
         self.ended.take()
     }
 }
-
-/// Reads input that waits on the socket itself, because the runtime may not have noticed it yet.
-/// Returns the number of bytes read, 0 at the end of the stream, or `None` if nothing waits.
-pub fn read_waiting_input(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<Option<usize>> {
-    match (&*SockRef::from(stream)).read(buffer) {
-        Ok(length) => Ok(Some(length)),
-        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Ok(None),
-        Err(e) => Err(e),
-    }
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod tracked_stream;
 mod unframed_body;
 mod upstream;
+mod waiting_input;
 
 pub use config::ConfigFileError;
 pub use startup::{run, StartupError};
--- a/crates/proxy/src/tracked_stream.rs
+++ b/crates/proxy/src/tracked_stream.rs
@@ -1,7 +1,7 @@
 //! A socket to a backend that records how much of the current request was sent and of its response
 //! was read.
 
-use crate::http_connection::read_waiting_input;
+use crate::waiting_input;
 use brookstack_balancer::UnsolicitedKind;
 use std::cell::{Cell, RefCell};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -167,7 +167,7 @@
             return Ok(());
         }
         let mut buffer = [0; MAX_PREFIX_BYTES];
-        match read_waiting_input(&self.stream, &mut buffer) {
+        match waiting_input::read(&self.stream, &mut buffer) {
             Ok(None) => Ok(()),
             Ok(Some(length)) => {
                 self.progress.record_unexpected_input(&buffer[..length]);
--- a/crates/proxy/tests/agent_faults.rs
+++ b/crates/proxy/tests/agent_faults.rs
@@ -1,5 +1,6 @@
-//! A local agent that pushes the endpoint list and falls silent, is slow or loses calls. What it has
-//! counts as notified at once, from the first moment of a process and whether or not a call is open.
+//! A local agent that pushes the endpoint list and falls silent, is slow or loses calls. What it
+//! has counts as notified at once, from the first moment of a process and whether or not a call is
+//! open.
 
 mod support;
 
@@ -65,8 +66,8 @@
     }
 }
 
-/// Guards against a stored list that is used although the agent has another one (review case 3): what
-/// the agent has counts from the first moment of a process, and it may be silent then.
+/// Guards against a stored list that is used although the agent has another one (review case 3):
+/// what the agent has counts from the first moment of a process, and it may be silent then.
 #[test]
 fn a_stored_list_is_not_used_before_the_agent_has_answered_the_new_process() {
     const SILENCE: Duration = Duration::from_secs(4);
--- a/crates/proxy/tests/discovery_faults.rs
+++ b/crates/proxy/tests/discovery_faults.rs
@@ -85,8 +85,9 @@
     assert_eq!(late_requests, 0);
 }
 
-/// Guards against an answer that is taken for a whole one although more bytes follow it (review case
-/// 1, on the connection to discovery): an old answer in front of the real one confirmed the list.
+/// Guards against an answer that is taken for a whole one although more bytes follow it (review
+/// case 1, on the connection to discovery): an old answer in front of the real one confirmed the
+/// list.
 #[test]
 fn an_answer_that_more_bytes_follow_does_not_confirm_the_list() {
     let late_requests = late_requests_while(DiscoveryBehavior::PutsOldAnswersFirst);
--- a/crates/proxy/tests/endpoint_updates.rs
+++ b/crates/proxy/tests/endpoint_updates.rs
@@ -86,8 +86,8 @@
     });
 }
 
-/// If an agent falls silent, the proxy keeps serving with the endpoint list that the agent has sent,
-/// and polls again.
+/// If an agent falls silent, the proxy keeps serving with the endpoint list that the agent has
+/// sent, and polls again.
 #[test]
 fn the_proxy_serves_and_polls_again_if_its_agent_falls_silent() {
     let backend = FakeBackend::responding_ok("x");
--- a/crates/proxy/tests/forwarding.rs
+++ b/crates/proxy/tests/forwarding.rs
@@ -30,9 +30,9 @@
     );
 }
 
-/// A successful response is forwarded even if unknown headers or 1xx responses come with it. If bytes
-/// follow it, its length is in doubt, so it is not forwarded. The bytes must not be forwarded as the
-/// response to another request.
+/// A successful response is forwarded even if unknown headers or 1xx responses come with it. If
+/// bytes follow it, its length is in doubt, so it is not forwarded. The bytes must not be forwarded
+/// as the response to another request.
 #[test]
 fn bytes_after_a_response_are_not_forwarded_as_another_response() {
     const REQUESTS: usize = 72;
--- a/crates/proxy/tests/response_lengths.rs
+++ b/crates/proxy/tests/response_lengths.rs
@@ -1,6 +1,6 @@
-//! Responses whose length is in doubt: with bytes behind their announced end, since a length that is
-//! too short and a good response that noise follows look the same, and with lengths that contradict
-//! each other. None is forwarded, nor is its promise believed.
+//! Responses whose length is in doubt: with bytes behind their announced end, since a length that
+//! is too short and a good response that noise follows look the same, and with lengths that
+//! contradict each other. None is forwarded, nor is its promise believed.
 
 mod support;
 
@@ -180,8 +180,8 @@
     assert_eq!(wrong_outcomes_of_followed_responses(Position::First), []);
 }
 
-/// Guards against a response that is cut off or not decoded and forwarded as a whole one, because one
-/// of its two lengths, or a part of its transfer coding, is ignored.
+/// Guards against a response that is cut off or not decoded and forwarded as a whole one, because
+/// one of its two lengths, or a part of its transfer coding, is ignored.
 #[test]
 fn a_response_with_contradictory_lengths_or_an_unknown_coding_is_not_forwarded() {
     let outcomes = CONTRADICTORY_RESPONSES.into_iter().map(|(name, text)| {
--- a/crates/proxy/tests/support/fake_backend.rs
+++ b/crates/proxy/tests/support/fake_backend.rs
@@ -131,8 +131,9 @@
     }
 }
 
-/// Binds to an address as soon as it is free. A process that another test starts holds copies of all
-/// sockets until it executes its program, also of a listener that was just closed at this address.
+/// Binds to an address as soon as it is free. A process that another test starts holds copies of
+/// all sockets until it executes its program, also of a listener that was just closed at this
+/// address.
 fn bind(address: SocketAddr) -> TcpListener {
     let mut listener = None;
     wait_until("the address of the backend is free", || {
--- a/crates/proxy/tests/support/fake_discovery.rs
+++ b/crates/proxy/tests/support/fake_discovery.rs
@@ -43,8 +43,8 @@
 }
 
 /// An agent that answers a call as soon as the test publishes a body. A call for which nothing is
-/// published gets the answer that nothing has changed: a watch at the end of its wait, a call for the
-/// complete list at once, which then is the list in the proxy's configuration.
+/// published gets the answer that nothing has changed: a watch at the end of its wait, a call for
+/// the complete list at once, which then is the list in the proxy's configuration.
 #[derive(Clone)]
 pub struct FakeDiscovery {
     pub address: SocketAddr,
@@ -207,6 +207,7 @@
     }
 }
 
-fn list_body(index: u64, is_snapshot: bool, endpoints: &[Value]) -> String {
+/// The body of an answer: the complete list, or changes up to the version `index`.
+pub fn list_body(index: u64, is_snapshot: bool, endpoints: &[Value]) -> String {
     json!({"index": index, "snapshot": is_snapshot, "endpoints": endpoints}).to_string()
 }
--- a/crates/proxy/tests/support/faulty_discovery.rs
+++ b/crates/proxy/tests/support/faulty_discovery.rs
@@ -1,9 +1,10 @@
 //! A discovery service that keeps all versions of an endpoint list and answers calls as the
 //! protocol says, until the test makes it fail.
 
+use super::fake_discovery::list_body;
 use super::http_message::{parameter, read_http_message};
 use super::wait::TEST_TIMEOUT;
-use serde_json::{json, Value};
+use serde_json::Value;
 use socket2::SockRef;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -244,7 +245,7 @@
         state.waiting_calls -= 1;
         let first = after.unwrap_or(0) as usize;
         let entries: Vec<Value> = state.changes[first..].concat();
-        answer_body(state.changes.len() as u64, &entries)
+        list_body(state.changes.len() as u64, false, &entries)
     }
 
     /// Whether the connection of a failed call is reset.
@@ -272,7 +273,7 @@
                 write_complete(stream, body)
             }
             DiscoveryBehavior::PutsOldAnswersFirst => {
-                let old_answer = complete_answer(&answer_body(after.unwrap_or(0), &[]));
+                let old_answer = complete_answer(&list_body(after.unwrap_or(0), false, &[]));
                 stream.write_all((old_answer + &answer).as_bytes()).is_ok()
             }
             DiscoveryBehavior::TimesOutInQueue | DiscoveryBehavior::Rejects => {
@@ -304,11 +305,6 @@
     }
 }
 
-/// The changes up to a version.
-fn answer_body(version: u64, entries: &[Value]) -> String {
-    json!({"index": version, "snapshot": false, "endpoints": entries}).to_string()
-}
-
 /// A listener on a free port with a short backlog.
 fn listen() -> TcpListener {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
--- a/crates/proxy/tests/support/list_scenario.rs
+++ b/crates/proxy/tests/support/list_scenario.rs
@@ -59,7 +59,7 @@
 /// A proxy with traffic.
 pub struct Scenario {
     /// Dropped after the clients have ended.
-    pub proxy: ProxyProcess,
+    _proxy: ProxyProcess,
     pub discovery: FaultyDiscovery,
     pub backends: Vec<(FakeBackend, Arrivals)>,
     clients: Vec<JoinHandle<()>>,
@@ -127,7 +127,7 @@
             std::thread::spawn(move || run_client(address, &is_over))
         };
         Scenario {
-            proxy,
+            _proxy: proxy,
             discovery,
             backends,
             clients: (0..CLIENT_COUNT).map(start_client).collect(),
