--- a/review/standins-2/src/discovery.rs
+++ b/review/standins-2/src/discovery.rs
@@ -4,6 +4,7 @@
 use crate::http::{read_message, response};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -67,6 +68,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// How long it works on each call, in milliseconds.
+    work_ms: Arc<AtomicU64>,
 }
 
 impl Discovery {
@@ -76,6 +79,7 @@
         let discovery = Discovery {
             address: listener.local_addr().expect("its address"),
             state: Arc::new((Mutex::new(State { index: 1, entries }), Condvar::new())),
+            work_ms: Arc::default(),
         };
         let served = discovery.clone();
         thread::spawn(move || {
@@ -87,6 +91,12 @@
         discovery
     }
 
+    /// Makes it work on each call for this long after the wait of the call is over.
+    pub fn slow_down(&self, work: Duration) {
+        self.work_ms
+            .store(work.as_millis() as u64, Ordering::SeqCst);
+    }
+
     /// Replaces the list.
     pub fn set(&self, entries: Vec<Entry>) {
         let (state, changed) = &*self.state;
@@ -114,22 +124,30 @@
 
     fn answer(&self, path: &str) -> String {
         let after = parameter(path, "after");
-        let wait = Duration::from_millis(parameter(path, "wait_ms").unwrap_or(0).min(MAX_WAIT_MS));
+        let wait = parameter(path, "wait_ms").unwrap_or(0).min(MAX_WAIT_MS);
+        self.wait_for_change(after, Duration::from_millis(wait));
+        thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::SeqCst)));
+        let state = self.state.0.lock().expect("the list is not poisoned");
+        if after == Some(state.index) {
+            let index = state.index;
+            return format!("{{\"index\":{index},\"snapshot\":false,\"endpoints\":[]}}");
+        }
+        whole_list(state.index, &state.entries)
+    }
+
+    /// Waits until the list is newer than `after`, or the wait is over.
+    fn wait_for_change(&self, after: Option<u64>, wait: Duration) {
         let ends_at = Instant::now() + wait;
         let (state, changed) = &*self.state;
         let mut state = state.lock().expect("the list is not poisoned");
         while after == Some(state.index) {
             let left = ends_at.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                let index = state.index;
-                return format!("{{\"index\":{index},\"snapshot\":false,\"endpoints\":[]}}");
+                return;
             }
-            state = changed
-                .wait_timeout(state, left)
-                .expect("the list is not poisoned")
-                .0;
+            let waited = changed.wait_timeout(state, left);
+            state = waited.expect("the list is not poisoned").0;
         }
-        whole_list(state.index, &state.entries)
     }
 }
 
--- a/review/standins-2/src/proxy.rs
+++ b/review/standins-2/src/proxy.rs
@@ -15,7 +15,7 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 /// The longest run of a case. After it the proxies are ended and the case could not run.
 const LONGEST_RUN: Duration = Duration::from_secs(110);
-/// The highest process identifier that a watchdog may have to end; 0 if there is none.
+/// The process identifier of the proxy, which a watchdog may have to end; 0 if there is none.
 static RUNNING: AtomicU32 = AtomicU32::new(0);
 
 /// The classes of a small deployment like the one of `colombo-freight`.
