Tests: clients at a constant rate stand in one place

They were a part of response_matching.rs, and another test file needs them. A change of form: the same requests at the same times. response_matching.rs passes.

--- a/crates/proxy/tests/response_matching.rs
+++ b/crates/proxy/tests/response_matching.rs
@@ -20,8 +20,6 @@
 /// By how much two attempts may overlap at the backends, since the proxy closes one connection and
 /// writes to another at the same time: the 50 ms by which limits are longer on sockets.
 const OVERLAP_SLACK: Duration = Duration::from_millis(50);
-/// The classes of the clients' requests, by turns.
-const CLASSES: [&str; 3] = ["read", "vote", "pay"];
 
 /// Backends and their clients.
 #[derive(Clone, Copy)]
@@ -74,15 +72,6 @@
     }
 }
 
-/// A request of a client and its response.
-struct Exchange {
-    id: String,
-    class: &'static str,
-    answered_at: Instant,
-    /// `None` if the connection ended without a response.
-    response: Option<HttpMessage>,
-}
-
 fn millis(lag: u64) -> Duration {
     Duration::from_millis(lag)
 }
@@ -149,7 +138,12 @@
     config["settings"]["limits"]["parallel_tries"] = json!(false);
     let proxy = ProxyProcess::start(&config);
     let start = Instant::now();
-    let exchanges = send_traffic(proxy.address, case.requests_per_s);
+    let exchanges = send_traffic(
+        proxy.address,
+        case.requests_per_s,
+        TRAFFIC_DURATION,
+        TIME_LEFT_MS,
+    );
     Observations {
         start,
         exchanges,
@@ -157,61 +151,6 @@
     }
 }
 
-/// Sends requests at a constant rate on connections that stay open.
-fn send_traffic(proxy: SocketAddr, requests_per_s: u32) -> Vec<Exchange> {
-    const CLIENT_INTERVAL: Duration = Duration::from_millis(200);
-    let end = Instant::now() + TRAFFIC_DURATION;
-    let client_count = requests_per_s * CLIENT_INTERVAL.as_millis() as u32 / 1000;
-    std::thread::scope(|scope| {
-        let clients: Vec<_> = (0..client_count)
-            .map(|index| {
-                let offset = CLIENT_INTERVAL * index / client_count;
-                let start = Instant::now() + offset;
-                scope.spawn(move || run_client(proxy, index as usize, start, end, CLIENT_INTERVAL))
-            })
-            .collect();
-        let exchanges = clients.into_iter().map(|client| client.join().unwrap());
-        exchanges.flatten().collect()
-    })
-}
-
-fn run_client(
-    proxy: SocketAddr,
-    index: usize,
-    start: Instant,
-    end: Instant,
-    interval: Duration,
-) -> Vec<Exchange> {
-    let mut exchanges = Vec::new();
-    let mut client = Client::connect(proxy);
-    let mut next = start;
-    while next < end {
-        std::thread::sleep(next.saturating_duration_since(Instant::now()));
-        let class = CLASSES[(index + exchanges.len()) % CLASSES.len()];
-        let request = request(class, TIME_LEFT_MS);
-        client.send(&request);
-        let response = client.read_response();
-        if response.is_none() {
-            client = Client::connect(proxy);
-        }
-        exchanges.push(Exchange {
-            id: correlation_id(&request),
-            class,
-            answered_at: Instant::now(),
-            response,
-        });
-        next = (next + interval).max(Instant::now());
-    }
-    exchanges
-}
-
-fn correlation_id(request: &str) -> String {
-    let line = request
-        .lines()
-        .find_map(|line| line.strip_prefix("X-Correlation-Id: "));
-    line.unwrap().to_string()
-}
-
 /// The cases with more than `allowed` violations in requests that were answered `after` the start
 /// or later.
 fn failed_cases(
@@ -239,7 +178,7 @@
         let is_idempotent = exchange.class == "read";
         let status = exchange.response.as_ref().map_or(0, HttpMessage::status);
         let is_rejected = matches!(status, 429 | 503);
-        violations.wrong_response += usize::from(status == 200 && !is_own_response(exchange));
+        violations.wrong_response += usize::from(status == 200 && !exchange.has_own_response());
         violations.rejected_after_begun += usize::from(is_rejected && !is_idempotent && begun > 0);
         violations.run_again += usize::from(exchange.class == "pay" && begun > 1);
         violations.concurrent_attempts += usize::from(overlap(executions));
@@ -247,11 +186,6 @@
     violations
 }
 
-fn is_own_response(exchange: &Exchange) -> bool {
-    let body = exchange.response.as_ref().map(|response| &response.body);
-    body.is_some_and(|body| *body == response_body(&exchange.id).as_bytes())
-}
-
 /// Whether an attempt began while an earlier one was in flight. The attempts are in the order in
 /// which they were received.
 fn overlap(executions: &[&Execution]) -> bool {
--- a/crates/proxy/tests/support/mod.rs
+++ b/crates/proxy/tests/support/mod.rs
@@ -15,6 +15,7 @@
 mod http_message;
 mod list_scenario;
 mod proxy_process;
+mod recorded_traffic;
 mod recording_backend;
 mod response_gate;
 mod saturated_listener;
@@ -36,6 +37,7 @@
     UNCHANGED,
 };
 pub use proxy_process::{start_proxy_with, ProxyProcess};
+pub use recorded_traffic::{send_traffic, Exchange};
 pub use recording_backend::{
     response_body, start_recording_backend, BackendBehavior, Execution, ExecutionLog,
     UnsolicitedResponse,
