--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -12,16 +12,19 @@
 use crate::tracked_stream::StreamProgress;
 use crate::upstream::Upstream;
 use brookstack_balancer::{
-    Micros, Outcome, ResponseArrival, ResponseDoubt, ResponseJudgement, Time,
+    HoldEnd, Micros, Outcome, ResponseArrival, ResponseDoubt, ResponseHold, ResponseJudgement, Time,
 };
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
-use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
+mod send_progress;
+
+pub use send_progress::SendProgress;
+
 /// A response that is held back is decided on this long before the deadline of its request, so that
 /// the client gets its answer in time.
 const RESPONSE_TIME: Micros = Micros(10_000);
@@ -38,36 +41,6 @@
     pub deadline: Time,
 }
 
-/// How much of an attempt's request has been sent. The driver reads it to decide whether to abort
-/// the attempt, and which outcome an aborted attempt has.
-#[derive(Default)]
-pub struct SendProgress(RefCell<Option<Rc<StreamProgress>>>);
-
-impl SendProgress {
-    /// Sets the connection on which the attempt is sent.
-    pub fn track(&self, progress: Rc<StreamProgress>) {
-        *self.0.borrow_mut() = Some(progress);
-    }
-
-    /// Whether at least one byte of the request was written to the socket. Until then the attempt
-    /// counts as not sent.
-    pub fn has_started(&self) -> bool {
-        let tracked = self.0.borrow();
-        tracked
-            .as_ref()
-            .is_some_and(|progress| progress.write_started.get())
-    }
-
-    /// Whether all bytes of the request were written to the socket. Until then the backend cannot
-    /// execute the request.
-    pub fn is_complete(&self) -> bool {
-        let tracked = self.0.borrow();
-        tracked
-            .as_ref()
-            .is_some_and(|progress| progress.write_completed.get())
-    }
-}
-
 /// One attempt to have a request served by a backend.
 pub struct Attempt {
     /// The identifier of the attempt.
@@ -246,6 +219,7 @@
                 let end = connection
                     .wait_behind_response(hold.wait.min(time_left))
                     .await;
+                self.log_hold(hold, end);
                 self.pool.monitor.judge_held(arrival, hold, end)
             }
         }
@@ -272,6 +246,18 @@
         );
     }
 
+    fn log_hold(&self, hold: ResponseHold, end: HoldEnd) {
+        tracing::trace!(
+            target: log_target::CONNECTION,
+            request = self.id.request.0,
+            attempt = self.id.attempt.0,
+            backend = %self.upstream.target.name,
+            wait_ms = hold.wait.0 / MICROS_PER_MILLISECOND,
+            ?end,
+            "response held back"
+        );
+    }
+
     fn log_failed_exchange(&self, error: &ExchangeError, progress: &StreamProgress) {
         tracing::debug!(
             target: log_target::CONNECTION,
