Do not take an unannounced close for the end of a response in doubt

Cause: an orderly close ended the wait for what may follow a response, as a proof that nothing does. A process that ends closes its connections in order too.

Fix: a close counts as the end only if the response announced it (Connection: close, HTTP/1.0, no length). Otherwise a response that would be held back is a failed attempt that may have run.

--- a/crates/balancer/src/connection_reuse.rs
+++ b/crates/balancer/src/connection_reuse.rs
@@ -99,6 +99,8 @@
     pub preceded_request: bool,
     /// What arrived right behind it.
     pub behind: BehindResponse,
+    /// Whether it announces that its connection ends behind it.
+    pub announces_close: bool,
     /// Whether its body is what its headers announce.
     pub is_as_announced: bool,
     /// The response itself; `None` if it is no success.
@@ -160,7 +162,8 @@
     EqualsPrevious,
     /// The connection had rested for less time than second responses were since seen to take.
     RestTooShort,
-    /// It had to be held back, and its request had too little time left, or the connection broke.
+    /// It had to be held back, and its request had too little time left, or the connection ended
+    /// without having been announced to: the backend may have failed before it sent the rest.
     HoldCutShort,
 }
 
@@ -242,10 +245,13 @@
         if let Some(doubt) = self.find_doubt(now, arrival) {
             return ResponseJudgement::Doubted(doubt);
         }
-        if arrival.behind == BehindResponse::Nothing {
-            if let Some(hold) = self.late_bytes.hold(now, arrival) {
-                return ResponseJudgement::Held(hold);
+        let hold = self.late_bytes.hold(now, arrival);
+        match (hold, arrival.behind) {
+            (Some(hold), BehindResponse::Nothing) => return ResponseJudgement::Held(hold),
+            (Some(_), _) if !arrival.announces_close => {
+                return ResponseJudgement::Doubted(ResponseDoubt::HoldCutShort);
             }
+            (Some(_) | None, _) => {}
         }
         self.record_believed(arrival.success);
         ResponseJudgement::Believed
@@ -266,6 +272,9 @@
             HoldEnd::NothingFollowed(waited) if waited < hold.min_wait => {
                 return Some(ResponseDoubt::HoldCutShort);
             }
+            HoldEnd::ConnectionClosed if !arrival.announces_close => {
+                return Some(ResponseDoubt::HoldCutShort);
+            }
             HoldEnd::NothingFollowed(_) | HoldEnd::ConnectionClosed => {}
         }
         self.late_bytes.record_nothing(now, arrival.process);
--- a/crates/balancer/src/connection_reuse/late_bytes.rs
+++ b/crates/balancer/src/connection_reuse/late_bytes.rs
@@ -60,7 +60,8 @@
 pub enum HoldEnd {
     /// Nothing followed for this time.
     NothingFollowed(Micros),
-    /// The backend closed the connection in order, so that nothing can follow.
+    /// The backend closed the connection in order. Nothing can follow, though more may have been
+    /// meant to, unless the close was announced.
     ConnectionClosed,
     /// The connection broke, so that it stays open whether anything would have followed.
     ConnectionBroken,
--- a/crates/balancer/src/connection_reuse/late_bytes/tests.rs
+++ b/crates/balancer/src/connection_reuse/late_bytes/tests.rs
@@ -23,6 +23,7 @@
         rest: None,
         preceded_request: false,
         behind: BehindResponse::Nothing,
+        announces_close: false,
         is_as_announced: true,
         success: Some(SuccessfulResponse {
             class: ClassId(0),
--- a/crates/balancer/src/connection_reuse/tests.rs
+++ b/crates/balancer/src/connection_reuse/tests.rs
@@ -42,6 +42,7 @@
         rest: Some(Micros(millis * 1_000)),
         preceded_request: false,
         behind: BehindResponse::Nothing,
+        announces_close: false,
         is_as_announced: true,
         success: None,
         previous_success: None,
@@ -297,11 +298,27 @@
     reuse.record_unsolicited(START, late_rest());
     let arrival = ResponseArrival {
         behind: BehindResponse::EndOfConnection,
+        announces_close: true,
         ..response_after_rest(100)
     };
     assert_eq!(reuse.judge(START, &arrival), Believed);
 }
 
+/// Guards against a backend that fails before it has sent the rest, and closes its connection in
+/// order (soak, seed 349).
+#[test]
+fn a_response_whose_connection_ends_unannounced_is_doubted_where_it_would_be_held_back() {
+    let arrival = ResponseArrival {
+        behind: BehindResponse::EndOfConnection,
+        ..response_after_rest(100)
+    };
+    let mut reuse = ConnectionReuse::default();
+    assert_eq!(reuse.judge(START, &arrival), Believed);
+    reuse.record_unsolicited(START, late_rest());
+    let doubted = Doubted(ResponseDoubt::HoldCutShort);
+    assert_eq!(reuse.judge(START, &arrival), doubted);
+}
+
 #[test]
 fn a_response_that_was_held_back_is_doubted_unless_it_was_seen_that_nothing_follows() {
     let cases = [
@@ -312,11 +329,18 @@
             Some(ResponseDoubt::HoldCutShort),
         ),
         (HoldEnd::NothingFollowed(Micros(20_000)), None),
-        (HoldEnd::ConnectionClosed, None),
+        (HoldEnd::ConnectionClosed, Some(ResponseDoubt::HoldCutShort)),
     ];
     for (end, expected) in cases {
         let arrival = response_after_rest(100);
         let doubt = ConnectionReuse::default().judge_held(START, &arrival, learnt_hold(), end);
         assert_eq!(doubt, expected, "{end:?}");
     }
+    let announced = ResponseArrival {
+        announces_close: true,
+        ..response_after_rest(100)
+    };
+    let end = HoldEnd::ConnectionClosed;
+    let doubt = ConnectionReuse::default().judge_held(START, &announced, learnt_hold(), end);
+    assert_eq!(doubt, None);
 }
--- a/crates/proxy/src/backend_connection.rs
+++ b/crates/proxy/src/backend_connection.rs
@@ -5,11 +5,12 @@
 use crate::connection_log::{CloseReason, ConnectionRecord};
 use crate::connection_monitor::ConnectionMonitor;
 use crate::count_guard::CountGuard;
-use crate::forwarded_request::MAX_BODY_BYTES;
+use crate::forwarded_request::{connection_options, MAX_BODY_BYTES};
 use crate::http_connection::HttpConnection;
 use crate::memory_budget::{MemoryBudget, Reservation, BUFFER_BYTES, MAX_SMALL_FIELDS};
 use crate::message_content::{self, BodyError};
 use crate::tracked_stream::{StreamProgress, TrackedStream};
+use crate::unframed_body;
 use brookstack_balancer::{
     BehindResponse, ClassId, HoldEnd, LastResponse, Micros, ResponseArrival, SuccessfulResponse,
     Time,
@@ -19,7 +20,7 @@
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -287,6 +288,7 @@
             rest: self.previous.map(|previous| previous.rest),
             preceded_request: self.progress.response_preceded_request.get(),
             behind: self.behind_response(),
+            announces_close: announces_close(response),
             is_as_announced: body_length::is_as_announced(
                 response.headers(),
                 response.body().len(),
@@ -334,6 +336,15 @@
     }
 }
 
+/// Whether a response announces that its connection ends behind it (RFC 9112, section 9.3).
+fn announces_close(response: &Response<Bytes>) -> bool {
+    let headers = response.headers();
+    let has_option =
+        |expected| connection_options(headers).any(|option| option.eq_ignore_ascii_case(expected));
+    let closes_by_default = response.version() < Version::HTTP_11 && !has_option("keep-alive");
+    closes_by_default || has_option("close") || unframed_body::is_unframed(headers)
+}
+
 /// Whether a head makes the buffers of a connection grow.
 fn has_large_head(headers: &HeaderMap) -> bool {
     headers.len() > MAX_SMALL_FIELDS || message_content::text_bytes(headers) > MAX_SMALL_TEXT_BYTES
--- a/crates/proxy/tests/late_bodies.rs
+++ b/crates/proxy/tests/late_bodies.rs
@@ -274,6 +274,35 @@
     assert!(run.served() >= 1.0, "{}", run.served());
 }
 
+/// Guards against a backend that ends before it has sent its body, and whose response is taken for
+/// one without a body because its connection is closed in order (soak, seed 349).
+#[test]
+fn a_response_without_a_body_is_not_forwarded_if_its_connection_ends_unannounced() {
+    for pause in [0, 20] {
+        let backend = FakeBackend::start(move |_| Reply::RespondAndCloseLater {
+            text: EMPTY_RESPONSE.to_string(),
+            pause: millis(pause),
+        });
+        let (proxy, _discovery) = start_proxy_with(&[("a", &backend)]);
+        let response = send_request(&proxy, &request("pay", TIME_LEFT_MS));
+        assert_eq!((pause, response.status()), (pause, 502));
+    }
+}
+
+/// Guards against backends that close their connections after each response, and are never served.
+#[test]
+fn a_response_without_a_body_is_forwarded_at_once_if_its_connection_ends_as_announced() {
+    for (name, head) in &EMPTY_RESPONSES[1..3] {
+        let backend = FakeBackend::start(|_| Reply::RespondAndClose(head.to_string()));
+        let (proxy, _discovery) = start_proxy_with(&[("a", &backend)]);
+        let sent_at = Instant::now();
+        let response = send_request(&proxy, &request("pay", TIME_LEFT_MS));
+        let elapsed = sent_at.elapsed();
+        assert_eq!((*name, response.status()), (*name, 200));
+        assert!(elapsed < millis(150), "{name}: {elapsed:?}");
+    }
+}
+
 /// Guards against backends that answer without a body and are never served.
 #[test]
 fn a_response_without_a_body_is_forwarded_if_nothing_follows_it() {
--- a/crates/proxy/tests/support/fake_backend.rs
+++ b/crates/proxy/tests/support/fake_backend.rs
@@ -14,6 +14,8 @@
     Respond(String),
     /// Writes the given text and closes the connection.
     RespondAndClose(String),
+    /// Writes the given text, and closes the connection after a pause.
+    RespondAndCloseLater { text: String, pause: Duration },
     /// Writes the first text, and the second one after a pause. Keeps the connection open.
     RespondInTwoParts {
         first: String,
@@ -162,6 +164,11 @@
         let (text, closes) = match handler(&request) {
             Reply::Respond(text) => (text, false),
             Reply::RespondAndClose(text) => (text, true),
+            Reply::RespondAndCloseLater { text, pause } => {
+                let _ = stream.write_all(text.as_bytes());
+                std::thread::sleep(pause);
+                (String::new(), true)
+            }
             Reply::RespondInTwoParts {
                 first,
                 pause,
