--- a/crates/fleet-simulator/src/soak/plan.rs
+++ b/crates/fleet-simulator/src/soak/plan.rs
@@ -78,6 +78,9 @@
     TrailingBytes,
     /// The response announces fewer bytes than it has, and the connection stays open.
     ShortLength,
+    /// The response announces no body, its body follows after the lag, and the connection stays
+    /// open.
+    LateBody,
     /// The response announces more bytes than it has, and the connection ends.
     Truncated,
     /// The response has no length, and the connection ends in an orderly way.
@@ -93,7 +96,7 @@
     pub fault: ResponseFault,
     /// When the fault is active.
     pub span: Span,
-    /// The time from a response to the one that no request asked for, s.
+    /// The time from a response to the bytes that no request asked for, s.
     pub lag_secs: f64,
     /// The number of the only backend that has the fault; `None` if all have it.
     pub only_backend: Option<usize>,
@@ -326,12 +329,16 @@
     }
     let fault = *FAULTS.choose(random)?;
     let only_one = random.random_bool(0.3);
-    Some(PlannedResponseFault {
+    let mut planned = PlannedResponseFault {
         fault,
         span: draw_span(random, 2.0..6.0),
         lag_secs: random.random_range(SECOND_RESPONSE_LAG_SECS),
         only_backend: only_one.then(|| random.random_range(0..backends)),
-    })
+    };
+    if fault == ResponseFault::ShortLength && random.random_bool(0.5) {
+        planned.fault = ResponseFault::LateBody;
+    }
+    Some(planned)
 }
 
 fn draw_signals(random: &mut Pcg64Mcg) -> Vec<PlannedSignal> {
--- a/crates/fleet-simulator/src/soak/plan/tests.rs
+++ b/crates/fleet-simulator/src/soak/plan/tests.rs
@@ -28,5 +28,5 @@
     }
     seen.sort();
     seen.dedup();
-    assert_eq!(seen.len(), 40, "{seen:?}");
+    assert_eq!(seen.len(), 41, "{seen:?}");
 }
--- a/crates/fleet-simulator/src/soak/responses.rs
+++ b/crates/fleet-simulator/src/soak/responses.rs
@@ -85,43 +85,44 @@
     service: Duration,
 ) -> bool {
     let lag = Duration::from_secs_f64(planned.lag_secs);
-    let whole = response(id);
     match planned.fault {
-        ResponseFault::Repeated => {
-            output.write_later(lag, whole.clone());
-            output.write(&whole).await
-        }
-        ResponseFault::DeliveredTwice => {
-            output.write_later(service, whole.clone());
-            output.write(&whole).await
-        }
-        ResponseFault::StrayRejection => {
-            output.write_later(lag, REJECTION.to_string());
-            output.write(&whole).await
-        }
-        ResponseFault::TrailingBytes => output.write(&(whole + "noise")).await,
-        ResponseFault::ShortLength => {
-            let text = response_announcing(id.len() / 2, id);
-            output.write(&text).await
-        }
-        ResponseFault::Truncated => {
-            let text = response_announcing(id.len() + 1, id);
-            output.write(&text).await;
-            false
-        }
-        ResponseFault::WithoutLength => {
-            output.write(&format!("HTTP/1.1 200 OK\r\n\r\n{id}")).await;
-            false
-        }
-        ResponseFault::WithoutLengthReset => {
-            let half = &id[..id.len() / 2];
-            output
-                .write(&format!("HTTP/1.1 200 OK\r\n\r\n{half}"))
-                .await;
-            output.reset_at_end().await;
-            false
+        ResponseFault::Repeated => output.write_later(lag, response(id)),
+        ResponseFault::DeliveredTwice => output.write_later(service, response(id)),
+        ResponseFault::StrayRejection => output.write_later(lag, REJECTION.to_string()),
+        ResponseFault::LateBody => return send_late_body(output, id, lag).await,
+        ResponseFault::TrailingBytes
+        | ResponseFault::ShortLength
+        | ResponseFault::Truncated
+        | ResponseFault::WithoutLength
+        | ResponseFault::WithoutLengthReset => {
+            return send_with_wrong_end(planned.fault, output, id).await;
         }
     }
+    output.write(&response(id)).await
+}
+
+/// Writes a response that announces no body, and its body after the lag.
+async fn send_late_body(output: &SharedOutput, id: &str, lag: Duration) -> bool {
+    output.write(&response_announcing(0, "")).await;
+    tokio::time::sleep(lag).await;
+    output.write(id).await
+}
+
+/// Writes a response whose end is not where it announces it, or that announces none.
+async fn send_with_wrong_end(fault: ResponseFault, output: &SharedOutput, id: &str) -> bool {
+    let half = &id[..id.len() / 2];
+    let (text, stays_open) = match fault {
+        ResponseFault::TrailingBytes => (response(id) + "noise", true),
+        ResponseFault::ShortLength => (response_announcing(half.len(), id), true),
+        ResponseFault::Truncated => (response_announcing(id.len() + 1, id), false),
+        ResponseFault::WithoutLengthReset => (format!("HTTP/1.1 200 OK\r\n\r\n{half}"), false),
+        _ => (format!("HTTP/1.1 200 OK\r\n\r\n{id}"), false),
+    };
+    let is_open = output.write(&text).await;
+    if fault == ResponseFault::WithoutLengthReset {
+        output.reset_at_end().await;
+    }
+    is_open && stays_open
 }
 
 /// Writes a response as large and in as many pieces as the query of the request asks for. Returns
