Doubt an unannounced close only behind a success without a body

Cause: doubted it behind every response that would be held back.

Change: the doubt holds for a success without a body, whose form is in doubt by itself.

--- a/crates/balancer/src/connection_reuse.rs
+++ b/crates/balancer/src/connection_reuse.rs
@@ -111,6 +111,18 @@
     pub since_previous: Micros,
 }
 
+impl ResponseArrival {
+    /// Whether it is a success without a body, a form that the protocol does not know.
+    fn is_empty_success(&self) -> bool {
+        self.success.is_some() && self.body_bytes == 0
+    }
+
+    /// Whether the backend may have failed before it sent the body, if its connection has ended.
+    fn may_lack_its_body(&self) -> bool {
+        self.is_empty_success() && !self.announces_close
+    }
+}
+
 /// What is found at the end of a response, as soon as that is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BehindResponse {
@@ -162,8 +174,9 @@
     EqualsPrevious,
     /// The connection had rested for less time than second responses were since seen to take.
     RestTooShort,
-    /// It had to be held back, and its request had too little time left, or the connection ended
-    /// without having been announced to: the backend may have failed before it sent the rest.
+    /// It had to be held back, and its request had too little time left, or the connection broke,
+    /// or it has no body and the connection ended unannounced: the backend may have failed before
+    /// it sent the body.
     HoldCutShort,
 }
 
@@ -248,7 +261,7 @@
         let hold = self.late_bytes.hold(now, arrival);
         match (hold, arrival.behind) {
             (Some(hold), BehindResponse::Nothing) => return ResponseJudgement::Held(hold),
-            (Some(_), _) if !arrival.announces_close => {
+            (Some(_), _) if arrival.may_lack_its_body() => {
                 return ResponseJudgement::Doubted(ResponseDoubt::HoldCutShort);
             }
             (Some(_) | None, _) => {}
@@ -272,7 +285,7 @@
             HoldEnd::NothingFollowed(waited) if waited < hold.min_wait => {
                 return Some(ResponseDoubt::HoldCutShort);
             }
-            HoldEnd::ConnectionClosed if !arrival.announces_close => {
+            HoldEnd::ConnectionClosed if arrival.may_lack_its_body() => {
                 return Some(ResponseDoubt::HoldCutShort);
             }
             HoldEnd::NothingFollowed(_) | HoldEnd::ConnectionClosed => {}
--- a/crates/balancer/src/connection_reuse/late_bytes.rs
+++ b/crates/balancer/src/connection_reuse/late_bytes.rs
@@ -60,7 +60,7 @@
 pub enum HoldEnd {
     /// Nothing followed for this time.
     NothingFollowed(Micros),
-    /// The backend closed the connection in order. Nothing can follow, though more may have been
+    /// The backend closed the connection in order. Nothing can follow, though a body may have been
     /// meant to, unless the close was announced.
     ConnectionClosed,
     /// The connection broke, so that it stays open whether anything would have followed.
@@ -210,8 +210,7 @@
         let evidence = self.recent_evidence(now);
         let concerned = evidence.filter(|evidence| evidence.concerns(process));
         let learnt = concerned.map(|evidence| evidence.hold());
-        let is_empty_success = arrival.success.is_some() && arrival.body_bytes == 0;
-        let suspicious = is_empty_success.then_some(ResponseHold {
+        let suspicious = arrival.is_empty_success().then_some(ResponseHold {
             wait: EMPTY_RESPONSE_WAIT,
             min_wait: EMPTY_RESPONSE_WAIT,
         });
