Simpler judgement of a response at the end of its connection; a test of deadlines in a hold

ConnectionReuse::judge asked for a hold where none could follow, and one of its match arms did nothing; the same decisions now read as two branches.

New test: a deadline during a hold must not count as a time-out of the backend, which ejects it. Without the branch in InFlightAttempt::abort_outcome the outcome is ConnectFailed, with it Cancelled.

--- a/crates/balancer/src/connection_reuse.rs
+++ b/crates/balancer/src/connection_reuse.rs
@@ -258,13 +258,12 @@
         if let Some(doubt) = self.find_doubt(now, arrival) {
             return ResponseJudgement::Doubted(doubt);
         }
-        let hold = self.late_bytes.hold(now, arrival);
-        match (hold, arrival.behind) {
-            (Some(hold), BehindResponse::Nothing) => return ResponseJudgement::Held(hold),
-            (Some(_), _) if arrival.may_lack_its_body() => {
-                return ResponseJudgement::Doubted(ResponseDoubt::HoldCutShort);
+        if arrival.behind == BehindResponse::Nothing {
+            if let Some(hold) = self.late_bytes.hold(now, arrival) {
+                return ResponseJudgement::Held(hold);
             }
-            (Some(_) | None, _) => {}
+        } else if arrival.may_lack_its_body() {
+            return ResponseJudgement::Doubted(ResponseDoubt::HoldCutShort);
         }
         self.record_believed(arrival.success);
         ResponseJudgement::Believed
--- a/crates/balancer/src/connection_reuse/late_bytes.rs
+++ b/crates/balancer/src/connection_reuse/late_bytes.rs
@@ -80,7 +80,7 @@
 
 /// The processes that send late bytes.
 enum Source {
-    /// All late bytes came from one process, which others may have in common.
+    /// All late bytes came from one process.
     Suspect(Suspect),
     /// Late bytes came from several processes, so that the path to them may be the cause.
     Several,
--- a/crates/proxy/src/backend_connection.rs
+++ b/crates/proxy/src/backend_connection.rs
@@ -85,8 +85,8 @@
     previous: Option<PreviousResponse>,
     /// Why the connection is closed when it is dropped.
     close_reason: CloseReason,
-    /// Whether a look behind the last response has found nothing, so that bytes that arrive now come
-    /// late.
+    /// Whether a look behind the last response has found nothing, so that bytes that arrive now
+    /// come late.
     is_end_checked: bool,
     memory: Rc<MemoryBudget>,
     /// Whether the buffers have grown for a large head.
--- a/crates/proxy/src/discovery/endpoint_list/tests.rs
+++ b/crates/proxy/src/discovery/endpoint_list/tests.rs
@@ -29,8 +29,8 @@
 }
 
 /// Guards against an answer of discovery whose announced length is too short and that is taken for
-/// a whole list (class of review case 6). A list shows its own end, so that no answer has to be held
-/// back to see whether more of it follows.
+/// a whole list (class of review case 6). A list shows its own end, so that no answer has to be
+/// held back to see whether more of it follows.
 #[test]
 fn no_beginning_of_a_list_is_a_list() {
     let compact = valid_list().to_string();
--- a/crates/proxy/src/driver/tests.rs
+++ b/crates/proxy/src/driver/tests.rs
@@ -188,6 +188,28 @@
     }
 }
 
+/// Guards against a backend that is ejected for a time-out although it has responded: its response
+/// was held back up to the deadline.
+#[tokio::test]
+async fn a_deadline_during_a_hold_is_no_time_out_of_the_backend() {
+    let mut test = TestDriver::new();
+    let task = tokio::spawn(std::future::pending::<()>()).abort_handle();
+    test.add_first_attempt(Rc::default(), task);
+    let id = AttemptId {
+        request: REQUEST,
+        attempt: AttemptNumber(0),
+    };
+    test.driver.handle_event(DriverEvent::ResponseHeld(id));
+    let driver = &mut test.driver;
+    driver
+        .pending
+        .expire_deadlines(Time::NEVER, &mut driver.balancer);
+    assert_eq!(
+        test.last_attempt_end(),
+        (AttemptNumber(0), Outcome::Cancelled, false)
+    );
+}
+
 /// The balancer may dispatch a hedged attempt in the tick in which the response arrived. Its end
 /// must be reported under the second attempt's number, and the response must not wait for the tick.
 #[tokio::test]
--- a/crates/proxy/src/tracked_stream.rs
+++ b/crates/proxy/src/tracked_stream.rs
@@ -227,7 +227,7 @@
         let _ = self.ensure_no_unread_input();
     }
 
-    /// Becomes ready when the socket has unread input or the connection has ended, which it records.
+    /// Becomes ready when the socket has unread input or the connection has ended. Records which.
     pub fn poll_unread_input(&mut self, cx: &mut Context) -> Poll<()> {
         if self.ensure_no_unread_input().is_err() {
             return Poll::Ready(()); // the progress has the result
